--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -5,7 +5,7 @@
 ratio shows stress; past a learned in-flight cap it queues; long sojourn in that queue refuses new arrivals;
 it is sent to the less busy of two random members of a random subset of the next tier's endpoints.
 
-Around that stand the departures, each with the failure that it answers: docs/design.md lists them all.
+Around that stand the departures, each with the failure that it answers told where it stands below.
 """
 
 from __future__ import annotations
