--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -14,7 +14,7 @@
 import math
 import random
 import zlib
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Sequence
 
 from eiderhub.interface import (
@@ -646,6 +646,7 @@
         self.ratio = LatencyRatio(now_us)
         self.queue = HoldQueue(len(self.worth))
         self.retries = RetryBudget()
+        self.refused: Counter[str] = Counter()  # since the last report, by reason
         self.idle = IdleConnections(s.limits.conn_idle_us)
         self.tries = {c.name: TryTime() for c in s.classes}
         placements: dict[tuple[frozenset[str] | None, frozenset[str] | None], Placement] = {}
@@ -740,6 +741,26 @@
             self.sweep_at = -1
             self._sweep(now_us)
 
+    def report(self, now_us: int) -> str:
+        """The state in one line, for the host's log; refusals are those since the last report."""
+        heads = map(self.queue.head, range(len(self.worth)))
+        worst = max((now_us - call.arrived for call in heads if call), default=0)
+        parts = [
+            f"ratio {self.ratio.value:.2f} scarcity {self.scarcity:.2f} held {self.queue.count}"
+            f" sojourn {worst // 1000} ms retries {self.retries.tokens:.1f}"
+        ]
+        for placement in self.placements:
+            for name, pool in zip(("near", "far"), placement.pools, strict=True):
+                limit = pool.limit
+                parts.append(
+                    f"{name} {limit.in_flight}/{limit.open * limit.cap:.1f} of {len(pool.subset.members)}"
+                    f" median {limit.median:.2f} base {limit.base:.2f}"
+                )
+        parts += [f"bucket {n} {b.tokens:.1f} +{b.refill:.1f}/s" for n, b in self.buckets.buckets.items()]
+        parts += [f"refused {why} {n}" for why, n in sorted(self.refused.items())]
+        self.refused.clear()
+        return "; ".join(parts)
+
     # --- requests ---
 
     def order(
@@ -765,22 +786,22 @@
         new.level = self.level[grade, over]
         age = self.tries[grade].age(expires_in_us, new.grade.deadline_us) if not self.settings.layer else 0
         if expires_in_us <= 0:
-            self._refuse(new)
+            self._refuse(new, "expired")
             return
         if not new.grade.late_share:
             # Guards against repeats that can no longer be worth anything.
             usual = self.placement[grade].local.limit.median * HOPELESS
             new.due = min(new.due, now_us + new.grade.aim_us - age)
             if new.due - now_us <= new.grade.aim_us * usual:
-                self._refuse(new)
+                self._refuse(new, "hopeless")
                 return
         low = self.worth[new.level] < LOW_WORTH
         outer = self.settings.layer == 0
         if outer and over and (stress > 0 or self.scarcity > SCARCE):
-            self._refuse(new)
+            self._refuse(new, "bucket")
             return
         if outer and self.queue.refusing(now_us):
-            self._refuse(new)
+            self._refuse(new, "sojourn")
             return
         if not over:
             bucket.tokens -= inflated
@@ -791,7 +812,7 @@
         if at_once:
             return
         if outer and low and (stress > 0 or self.queue.count):
-            self._refuse(new)
+            self._refuse(new, "low tier")
             return
         self._hold(now_us, new)
 
@@ -799,7 +820,7 @@
         share = HOLD_SHARE_INSIDE if self.settings.layer else HOLD_SHARE
         until = min(now + int(share * call.grade.aim_us), call.due - ANSWER_MARGIN_US)
         if until <= now:
-            self._refuse(call)
+            self._refuse(call, "short")
             return
         self.queue.push(call, until)
         self._sweep_later(now)
@@ -814,7 +835,7 @@
         self._dispatch(now)
         while (call := queue.overdue(now)) is not None:
             queue.take(call)
-            self._refuse(call)
+            self._refuse(call, "held")
         queue.watch(now)
         while self.copies and self.copies[0][0] <= now:
             self._copy(now, self.copies.popleft()[1])
@@ -845,8 +866,9 @@
                     break
                 queue.take(call)
 
-    def _refuse(self, call: Call) -> None:
+    def _refuse(self, call: Call, why: str) -> None:
         """Final answer without a result: `shed` where that is legal."""
+        self.refused[why] += 1
         if may_refuse(
             call.grade.effect, call.grade.group, call.first_run is not None or bool(call.outstanding)
         ):
@@ -1122,7 +1144,7 @@
                 if pool.subset.members and (endpoint := self._pick(now, pool, call)) is not None:
                     self._send(now, call, endpoint, pool)
                     return
-        self._refuse(call)
+        self._refuse(call, "attempts")
 
     def expired(self, now_us: int, call: str) -> None:
         found = self.calls.get(call)
--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -24,6 +24,7 @@
 LAG_EVERY_S = 0.1
 LAG_LOG_S = 10.0
 LAG_WORTH_US = 50_000  # a lag that eats a good part of the margin for answers
+REPORT_EVERY_S = 2.0
 LINES_PER_S = 20
 log = logging.getLogger("eiderhub.sidecar")
 
@@ -57,6 +58,13 @@
             worst, next_log = 0, now + int(LAG_LOG_S * 1e6)
 
 
+async def report(host: Host, callers: Server) -> None:
+    """Log the figures of the last while: a bad stretch is compared with a good one by them."""
+    while True:
+        await asyncio.sleep(REPORT_EVERY_S)
+        log.info("figures: callers %d of %d, %s", len(callers.callers), callers.most, host.report())
+
+
 async def drain(server: Server, host: Host) -> None:
     """Answer all that was taken, in time for SIGKILL, while new callers are sent elsewhere.
 
@@ -97,7 +105,7 @@
     server = Server(host, config.bounds.callers)
     await server.bind(config.listen.host, config.listen.port)
     host.start()
-    chores = (host.upstream.sweep(), server.watch_callers(), watch_lag())
+    chores = (host.upstream.sweep(), server.watch_callers(), watch_lag(), report(host, server))
     background = [loop.create_task(chore) for chore in chores]
     # What lives from here to the end need not be walked again: a full collection holds up every request.
     gc.collect()
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from typing import Any, Protocol
@@ -71,6 +72,7 @@
         self.settings = settings
         self.requests: dict[str, Request] = {}
         self.serial = 0
+        self.tally: Counter[str] = Counter()  # since the last report: answers by status, attempts by outcome
         self.listed = False  # whether any list has named endpoints
         self.budget = Budget(config.bounds.held)  # for requests and answers alike
         self.upstream = Upstream(
@@ -100,6 +102,15 @@
         """Take from a new configuration what may change while the process runs: where discovery is."""
         self.watcher.move(config.discovery.host, config.discovery.port)
 
+    def report(self) -> str:
+        """What happened since the last report, and the state, in one line for those on call."""
+        up = self.upstream
+        lines = [f"open requests {len(self.requests)}, connections {up.open} of {up.most}"]
+        for tally in (self.tally, up.tally):
+            lines.append(", ".join(f"{name} {count}" for name, count in sorted(tally.items())) or "-")
+            tally.clear()
+        return "; ".join([*lines, self.balancer.report(now_us())])
+
     @property
     def ready(self) -> bool:
         return self.listed
@@ -129,6 +140,7 @@
     def gone(self, request: Request) -> None:
         """The client has closed its connection: nothing more is sent for it."""
         if not request.answered:
+            self.tally["gone"] += 1
             self._close(request)
             self._tell(self.balancer.expired, request.call)
 
@@ -151,6 +163,7 @@
         if request.answered:
             return
         self._close(request)
+        self.tally[str(status)] += 1
         request.caller.answer(status, headers, body)
 
     def _abandon(self, request: Request, status: int) -> None:
@@ -181,6 +194,7 @@
 
     def _ended(self, request: Request, attempt: Attempt, outcome: Outcome, response: Response | None) -> None:
         request.out -= 1
+        self.tally[outcome.name.lower()] += 1
         if outcome is Outcome.OK and response is not None:
             self._answer(request, 200, response.headers, response.body)
         if request.answered and not request.out:
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import select
+from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple, Protocol, cast
 
@@ -321,6 +322,7 @@
         self.connect_timeout_s = connect_timeout_us / 1e6
         self.most = most
         self.open = 0  # connections that are up or coming up
+        self.tally: Counter[str] = Counter()  # since the last report: what became of attempts and connections
         self.budget = budget
         self.pools: dict[str, Pool] = {}  # of the endpoints that are ready, and no others
         self.active: dict[Connection, None] = {}  # with an attempt out on them
@@ -374,13 +376,16 @@
             return
         connection = pool.take()
         if connection is not None:
+            self.tally["reused"] += 1
             self._write(attempt, connection, pool)
         elif self.open < self.most or self._make_room():
             self.open += 1
+            self.tally["opened"] += 1
             task = loop.create_task(self._connect(attempt, pool))
             self._connecting.add(task)
             task.add_done_callback(self._connecting.discard)
         else:
+            self.tally["no room"] += 1
             loop.call_soon(attempt.end, Outcome.CONNECT_FAILED)
 
     def _make_room(self) -> bool:
