Split a copy's caps by where the endpoints stand, not by a fixed part

A copy granted its whole fair part to the endpoints of its own zone and a quarter of it to all others, as if copies were spread as endpoints are.

Test: a zone with fewer endpoints than the fair part is not given all of it.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -62,7 +62,7 @@
 START_CALLS = 7.0  # in-flight calls an endpoint is taken to bear, from all copies together, before we learn
 SURE_STARTS = 2.0  # times that, the cap grows only by what was seen at the cap itself
 FLOOR_CALLS = 2.0  # and in any trouble: a floor that is too low starves sound endpoints once trouble is over
-REMOTE_PART = 0.25  # part of that granted in other zones, whose own callers come first
+REMOTE_PART = 0.25  # part of that granted in other zones at least, whose own callers come first
 MIN_CAP = 0.1  # calls; the sum over many copies must still be small
 DITHER_US = 250_000  # while crowded, a part of a call is granted part of the time: drawn anew so often
 CHANCE_ROOTS = 2.0  # square roots of the cap that calls in flight may exceed it by: arrivals come by chance
@@ -703,13 +703,15 @@
             near = [e for e in allowed if e.zone == s.zone]
             far = [e for e in allowed if e.zone != s.zone]
             placement.size = len(allowed)
-            # Copies are spread over the zones about as endpoints are; other zones have their own to carry.
+            # Other zones have their own callers to carry. Danger: copies are not spread as endpoints are, and
+            # one that takes its whole part in a zone with less jams that, while the others' sit idle.
             fair = len(allowed) / s.balancers
+            own = min(fair, len(near))
             for pool, members, part in (
-                (placement.local, near, 1.0),
-                (placement.remote, far, REMOTE_PART if near else 1.0),
+                (placement.local, near, own),
+                (placement.remote, far, max(fair - own, REMOTE_PART * fair)),
             ):
-                pool.limit.size(fair * part)
+                pool.limit.size(part)
                 size = max(SUBSET_MIN, int(SUBSET_PER_CALL * pool.limit.cap))
                 pool.subset.fill(members, s.rank, s.balancers, size)
 
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
-from eiderhub.balancer import SOJOURN_INTERVAL_US, ConcurrencyLimit, TokenBuckets
+from eiderhub.balancer import (
+    CHANCE_ROOTS_OUTSIDE,
+    SOJOURN_INTERVAL_US,
+    START_CALLS,
+    ConcurrencyLimit,
+    TokenBuckets,
+)
 from eiderhub.interface import Goal, Limits, Outcome, Prices
 from tests.support import MS, SAFE, UNSAFE, Host, S, endpoints, settings
 
@@ -391,3 +398,23 @@
     host.reply(call, Outcome.ERROR, spent=S)
     host.advance(S)
     assert len(host.sends(call)) <= 2
+
+
+def test_a_zone_with_fewer_endpoints_than_a_fair_part_is_not_given_all_of_it() -> None:
+    """Two copies, four endpoints, one of them near: the rest of the part is borne by the other zones."""
+    entries = endpoints(1) + endpoints(3, "west", start=1)
+    host = Host(settings(balancers=2), entries)
+    for _ in range(30):
+        host.order(tenant="big")
+    near = sum(send[2] == entries[0].id for send in host.sends())
+    far = len(host.sends()) - near
+    assert near <= START_CALLS + CHANCE_ROOTS_OUTSIDE * math.sqrt(START_CALLS) + 1
+    assert far >= START_CALLS
+
+
+def test_the_report_tells_refusals_by_reason_once() -> None:
+    host = Host(settings(), endpoints(1))
+    call = host.order(left=0)
+    assert host.answers(call) == ["shed"]
+    assert "refused expired 1" in host.balancer.report(host.now)
+    assert "refused" not in host.balancer.report(host.now)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -387,3 +387,18 @@
             assert await asyncio.to_thread(running.process.wait) == 0
 
     run(test())
+
+
+def test_the_report_counts_answers_attempts_and_connections_once() -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = await sidecar.client()
+            for _ in range(2):
+                client.send("pay")
+                (await sidecar.endpoints[0].next()).reply()
+                assert (await client.answer()).status == 200
+            line = sidecar.host.report()
+            assert "200 2, ok 2; opened 1, reused 1;" in line
+            assert "200 2" not in sidecar.host.report()
+
+    run(test())
