--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import select
 from collections import Counter
 from collections.abc import Callable
@@ -32,6 +33,7 @@
         b"upgrade", b"content-length", b"expect",
     )
 )  # fmt: skip
+log = logging.getLogger(__name__)
 
 
 class Response(NamedTuple):
@@ -127,17 +129,17 @@
     def data_received(self, data: bytes) -> None:
         if self.lost or self._parser is None:
             return
-        if not self.busy:  # nobody asked
-            self.fail()
+        if not self.busy:
+            self.fail("bytes that nobody asked for")
             return
         in_head = self._in_head
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # Behind a whole answer there may be more than belongs to it, a second copy or noise: the answer
             # stands, for its one stated length has come, and the connection is of no further use.
             if self._response is None:
-                self.fail()
+                self.fail(f"no answer that can be read: {error.__context__ or error}")
                 return
             self._keep = False
         if self._response is not None:
@@ -147,10 +149,11 @@
         # Guards against a head that never ends, or interim answers without end.
         self._head_size += len(data) if in_head else 0
         if in_head and self._in_head and self._head_size > MAX_HEAD:
-            self.fail()
+            self.fail("a head without end")
 
-    def fail(self) -> None:
+    def fail(self, why: str) -> None:
         """End the exchange, and the connection, for what came or did not come on it."""
+        log.info("an answer is given up: %s", why)
         self.close()
         self.owner.on_lost(self)
 
@@ -340,7 +343,7 @@
                 pool.close_idle(now - self.keep_us)
             for connection in list(self.active):
                 if 0 < connection.heard_us < now - STALL_US:
-                    connection.fail()
+                    connection.fail("it stopped half way")
 
     def place(self, endpoint: str, host: str, port: int, launched_us: int) -> None:
         """An endpoint that is ready; where its address is another, or its process, old connections go."""
