Hold calls of equal worth in one level, in order of arrival

Each class had a queue level of its own, and ties in worth were broken by name: hind was sent before laoseis, its equal, whenever calls were held, so laoseis got what was left.

Test: classes of equal worth are held in order of arrival.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -623,14 +623,17 @@
             for c in settings.classes
             for over in (False, True)
         }
-        ranked = sorted(worths, key=lambda k: (-worths[k], k))
-        self.level = {k: i for i, k in enumerate(ranked)}
-        self.worth = [worths[k] for k in ranked]
+        # Danger: levels of their own for classes worth the same are told apart by name alone, and the last of
+        # them starves behind the others whenever calls are held.
+        ranked = sorted({(-worth, over) for (_, over), worth in worths.items()})
+        self.level = {(name, over): ranked.index((-worth, over)) for (name, over), worth in worths.items()}
+        self.worth = [-minus for minus, _ in ranked]
         goal = settings.goal
         even = goal.by_class / (goal.by_class + goal.by_worth or 1.0)
         # What a served call is worth to the goal, where the cheapest class may count as much as the best.
         self.gain = [
-            (1 - even) * worths[k] + even * (settings.over_share_worth if k[1] else 1.0) for k in ranked
+            (1 - even) * -minus + even * (settings.over_share_worth if over else 1.0)
+            for minus, over in ranked
         ]
         self.copying = settings.limits.second_copies and settings.layer == 0
         self.started = False
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -418,3 +418,17 @@
     assert host.answers(call) == ["shed"]
     assert "refused expired 1" in host.balancer.report(host.now)
     assert "refused" not in host.balancer.report(host.now)
+
+
+def test_classes_of_equal_worth_are_held_in_order_of_arrival() -> None:
+    """Found in service: of two classes worth the same, the later by name got what the other left."""
+    alike = (replace(SAFE, name="alpha"), replace(SAFE, name="omega"))
+    host = Host(settings(classes=alike), endpoints(4))
+    while (call := host.order("omega")) in host.sent:
+        pass
+    later = host.order("alpha")
+    assert not host.answers(call) and not host.answers(later)
+    while call not in host.sent:
+        host.reply(next(c for c in host.sent if c in host.balancer.calls), Outcome.OK)
+        assert later not in host.sent or call in host.sent
+    assert later not in host.sent
