--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -79,9 +79,17 @@
     server.listener.close()
     await asyncio.sleep(SERVE_SHARE * end - ACCEPT_S)
     server.leaving = True
+    log.info("drain: %d callers, %d requests open", len(server.callers), len(host.requests))
     while server.callers and now_us() < begun_us + int(end * 1e6):
         server.close_idle()
         await asyncio.sleep(0.01)
+    took_s = (now_us() - begun_us) / 1e6
+    log.info(
+        "drain: ends after %.1f s, %d callers, %d requests open",
+        took_s,
+        len(server.callers),
+        len(host.requests),
+    )
     host.fail_all()
     server.close_idle()
     await asyncio.sleep(FLUSH_S)
