Take the lower base of the near and far pool as the uncrowded latency

A pool that is crowded from its first call learns that as its uncrowded state, so its target rises and its cap grows, while the same tier's endpoints in other zones sit idle.

Test: a pool crowded from the start does not grow past its idle peer.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -308,6 +308,7 @@
         self.next_dither = 0
         self.median = 0.0
         self.base = 0.0
+        self.peer: ConcurrencyLimit | None = None  # of the same tier's endpoints in the other zones, or here
         self.most = TARGET_SHARE / (layer + 1)
         self.normal = NORMAL_SHARE / (layer + 1)
         self.round = Histogram()
@@ -359,7 +360,10 @@
         drift = 1.0 if self.bound and self.cap > self.sure else BASE_DRIFT
         # Guards against a start amid overload: what was always slow is not taken for the uncrowded state.
         self.base = min(self.base * drift if self.base else self.normal, self.median)
-        target = max(TARGET_LEAST_RISE * self.base, min(TARGET_RISE * self.base, self.most))
+        # Danger: a pool that was crowded from its first call takes that for its uncrowded state, and its cap
+        # grows while the same tier's endpoints elsewhere sit idle. They are alike, so the lower base tells.
+        base = min(self.base, self.peer.base) if self.peer and self.peer.base else self.base
+        target = max(TARGET_LEAST_RISE * base, min(TARGET_RISE * base, self.most))
         self.slack = min(1.0, max(0.0, TARGET_RISE * (1.0 - median / target)))
         if median > target:
             self.cap = max(self.floor, self.cap * max(DEEPEST_CUT, target / median))
@@ -600,6 +604,7 @@
         self.zones = grade.stays_in
         self.kinds = grade.served_on
         self.local, self.remote = Pool(layer), Pool(layer)
+        self.local.limit.peer, self.remote.limit.peer = self.remote.limit, self.local.limit
         self.pools = (self.local, self.remote)
         self.size = 0  # endpoints that are open to it and ready
         self.sent = 0.0  # work sent lately, of all its classes
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -10,6 +10,7 @@
     SOJOURN_INTERVAL_US,
     START_CALLS,
     ConcurrencyLimit,
+    Placement,
     TokenBuckets,
 )
 from eiderhub.interface import Goal, Limits, Outcome, Prices
@@ -432,3 +433,29 @@
         host.reply(next(c for c in host.sent if c in host.balancer.calls), Outcome.OK)
         assert later not in host.sent or call in host.sent
     assert later not in host.sent
+
+
+def crowd(limit: ConcurrencyLimit, share: float, rounds: int) -> None:
+    """Rounds of outcomes that took this share of their aim, each sent after the last cut, the cap in use."""
+    now = limit.changed
+    for _ in range(rounds):
+        before = limit.round
+        limit.in_flight = math.ceil(limit.cap)
+        while limit.round is before:
+            now += 1000
+            limit.learn(now, now, share)
+
+
+def test_a_pool_crowded_from_the_start_does_not_grow_past_its_idle_peer() -> None:
+    """Found in service: 15 calls at the one near endpoint, five times slower than four idle far ones."""
+    placement = Placement(SAFE, 1)
+    near, far = placement.local.limit, placement.remote.limit
+    near.size(1.0)
+    far.size(0.25)
+    crowd(far, 0.05, 1)
+    crowd(near, 0.2, 4)
+    assert near.cap < START_CALLS
+    alone = ConcurrencyLimit(1)
+    alone.size(1.0)
+    crowd(alone, 0.2, 4)
+    assert alone.cap > START_CALLS
