Start an endpoint's ejections over once it has been in full use for a while

Each ejection doubled the last for as long as the process of the endpoint lived.

Test: failures of long ago do not lengthen an ejection; failing again on return does.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -105,6 +105,7 @@
 MAX_EJECTED = 0.5  # share of the known endpoints, in all zones, that may be out at once
 EJECT_US = 3_000_000  # first ejection; each further one doubles it
 EJECT_MAX_US = 24_000_000  # up to this
+FORGIVE_US = 4_000_000  # an endpoint in full use for so long starts over: what it did before says nothing
 RETURN_US = 4_000_000  # an ejected endpoint climbs back to its full part in this time
 RETURN_FROM = 0.15  # starting with this part
 SLOW_WEIGHT = 0.2  # weight of the newest latency in an endpoint's mean
@@ -1136,7 +1137,9 @@
         if sum(now < o.ejected_until for o in self.ejected) + 1 > MAX_EJECTED * self.ready:
             return
         self.ejected.append(e)
-        e.ejections += 1
+        # Danger: doubled for failures of minutes ago, one failure keeps a sound endpoint out for the longest.
+        sound_us = now - e.ejected_until - RETURN_US
+        e.ejections = e.ejections + 1 if sound_us < FORGIVE_US else 1
         wait = min(EJECT_US * 2 ** (e.ejections - 1), EJECT_MAX_US)
         e.ejected_until = now + int(wait * (0.75 + 0.5 * self.random.random()))
         e.failing = 0.0
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -7,6 +7,7 @@
 
 from eiderhub.balancer import (
     CHANCE_ROOTS_OUTSIDE,
+    EJECT_US,
     SOJOURN_INTERVAL_US,
     START_CALLS,
     ConcurrencyLimit,
@@ -459,3 +460,21 @@
     alone.size(1.0)
     crowd(alone, 0.2, 4)
     assert alone.cap > START_CALLS
+
+
+def test_failures_of_long_ago_do_not_lengthen_an_ejection() -> None:
+    """Found in service: rare failures over minutes had sound endpoints out for half a minute each."""
+    host = Host(settings(balancers=1), endpoints(6))
+    ill = next(iter(host.balancer.endpoints.values()))
+    for _ in range(4):
+        while ill.ejected_until <= host.now:
+            drive_with_down(host, {ill.id}, 1, 20 * MS)
+        assert ill.ejected_until - host.now <= 1.25 * EJECT_US
+        drive_with_down(host, set(), 1500, 20 * MS)
+
+
+def test_an_endpoint_that_fails_again_on_its_return_is_left_out_for_longer() -> None:
+    host = Host(settings(balancers=1), endpoints(6))
+    ill = next(iter(host.balancer.endpoints.values()))
+    drive_with_down(host, {ill.id}, 1500, 20 * MS)
+    assert ill.ejections > 1
