Log lists as they come, and the busiest endpoints of each pool

The figures told the sum of a pool: not which endpoint a copy's calls stand at, nor what part of its calls a cold or ejected one may have, nor when a list came.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -138,6 +138,7 @@
 
 UNANSWERED = frozenset((Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED))
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))
+REPORTED = 3  # endpoints of each pool, the busiest, that the state names one by one
 SWEEP, ASK = "sweep", "ask"
 
 
@@ -767,6 +768,12 @@
                     f"{name} {limit.in_flight}/{limit.open * limit.cap:.1f} of {len(pool.subset.members)}"
                     f" median {limit.median:.2f} base {limit.base:.2f}"
                 )
+                busiest = sorted(pool.subset.members, key=lambda e: (-e.in_flight, e.id))[:REPORTED]
+                parts += [
+                    f"{e.id} {e.in_flight} out slow {e.slow:.1f} failing {e.failing:.2f}"
+                    f" part {self._part(now_us, e, self._warmth(now_us, e)):.2f}"
+                    for e in busiest
+                ]
         parts += [f"bucket {n} {b.tokens:.1f} +{b.refill:.1f}/s" for n, b in self.buckets.buckets.items()]
         parts += [f"refused {why} {n}" for why, n in sorted(self.refused.items())]
         self.refused.clear()
--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -120,7 +120,17 @@
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
     await server.listener.start_serving()
-    log.info("%s serves on %s:%d", config.name, config.listen.host, config.listen.port)
+    settings = config.settings
+    log.info(
+        "%s serves on %s:%d: layer %d, copy %d of %d, zone %s",
+        config.name,
+        config.listen.host,
+        config.listen.port,
+        settings.layer,
+        settings.rank,
+        settings.balancers,
+        settings.zone or "-",
+    )
     await stop.wait()
     await drain(server, host)
     for task in background:
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -270,6 +270,9 @@
 
     def on_list(self, form: ListForm, entries: list[Listed]) -> None:
         """Rule 3: the pools learn first, so that nothing new leaves for what drains or is gone."""
+        lives = Counter(entry.endpoint.readiness.value for entry in entries)
+        told = ", ".join(f"{count} {life}" for life, count in sorted(lives.items())) or "nothing new"
+        log.info("discovery tells (%s): %s", form.name.lower(), told)
         if form in (ListForm.FULL, ListForm.CACHED):
             for missing in self.upstream.pools.keys() - {entry.endpoint.id for entry in entries}:
                 self.upstream.retire(missing)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -8,6 +8,7 @@
 from eiderhub.balancer import (
     CHANCE_ROOTS_OUTSIDE,
     EJECT_US,
+    REPORTED,
     SOJOURN_INTERVAL_US,
     START_CALLS,
     ConcurrencyLimit,
@@ -422,6 +423,14 @@
     assert "refused" not in host.balancer.report(host.now)
 
 
+def test_the_report_names_the_busiest_endpoints_with_the_part_that_they_may_have() -> None:
+    host = Host(settings(), endpoints(1) + endpoints(6, "west", start=1, launched=1_000_000_000 - 1 * S))
+    host.order()
+    line = host.balancer.report(host.now)
+    assert "10.0.0.0:80 1 out slow 0.0 failing 0.00 part 1.00" in line
+    assert line.count("part 0.28") == REPORTED
+
+
 def test_classes_of_equal_worth_are_held_in_order_of_arrival() -> None:
     """Found in service: of two classes worth the same, the later by name got what the other left."""
     alike = (replace(SAFE, name="alpha"), replace(SAFE, name="omega"))
