Let caps follow a copy's part of the endpoints, and their warmth

A copy with 14.6 calls as its near cap for two endpoints has 17 out at the one that is left; its neighbours do the same, so that endpoint holds 15 to 20 calls, its latency stands at 2.2 of its peers', and 44 to 102 attempts in two seconds end by time. The inner tiers sit idle (near 8/135).

Ruled out: connections (21 of 166), refusals for the bucket (3 of 249 at 8 s), the tiers behind (no rise of latency, 5 errors), calls to discovery (the list tells of a drain 0.3 s after it).

At fault: ConcurrencyLimit.size, which raised the cap with the list and never lowered it, and _in_use, which left all of the cap open while members were cold and took few calls.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -304,6 +304,7 @@
         self.cap = 0.0  # set when the first list comes
         self.floor = MIN_CAP
         self.open = 1.0  # the part of the cap whose endpoints are in use
+        self.fair = 0.0  # endpoints' worth that the cap stands for
         self.sure = 0.0  # up to here the cap climbs easily: what endpoints bear on any day
         self.in_flight = 0
         self.dither = 0.0
@@ -320,7 +321,14 @@
         self.changed = 0
 
     def size(self, fair: float) -> None:
-        """`fair` is this copy's part of the endpoints: shares of it bound the sum over all copies."""
+        """`fair` is this copy's part of the endpoints: shares of it bound the sum over all copies.
+
+        Danger: a cap learned with all endpoints falls whole on the few that a release leaves, from every copy
+        at once, and jams them. What it tells is what one endpoint bears, so it goes with the part.
+        """
+        if fair:
+            self.cap *= fair / (self.fair or fair)
+            self.fair = fair
         self.floor = max(MIN_CAP, FLOOR_CALLS * fair)
         self.sure = SURE_STARTS * START_CALLS * fair
         self.cap = max(self.cap or START_CALLS * fair, self.floor)
@@ -665,6 +673,7 @@
         }
         self.placements = list(placements.values())
         self.ejected: list[EndpointState] = []
+        self.warm_at = 0  # when the endpoint that started last is warm
         self.ready = 0
         self.fleet_failing = 0.0
         self.scarcity = 0.0  # share of late arrivals within their share that found no room at once
@@ -708,6 +717,7 @@
         s = self.settings
         ready = [e for e in self.endpoints.values() if e.ready]
         self.ready = len(ready)
+        self.warm_at = max((e.launched + s.rules.cold_us for e in ready if e.launched), default=0)
         for placement in self.placements:
             allowed = [e for e in ready if placement.allows(e)]
             near = [e for e in allowed if e.zone == s.zone]
@@ -994,15 +1004,15 @@
         return 0.0 if since < 0 else RETURN_FROM + (1 - RETURN_FROM) * since / RETURN_US
 
     def _in_use(self, now: int, pool: Pool) -> float:
-        """The part of a pool's endpoints that is in use, not ejected: as much of its cap is open.
+        """The part of a pool that is in use, neither ejected nor cold: as much of its cap is open.
 
-        Danger: a cap learned with all endpoints falls on the few left and jams those in turn. Covers whatever
-        ejects. Could hurt where sound endpoints are ejected while the rest have capacity to spare.
+        Danger: a cap learned with all endpoints falls on the few left and jams those in turn. Covers starts
+        and whatever ejects. Could hurt where sound endpoints are ejected while others have room to spare.
         """
-        if not self.ejected:
+        if not self.ejected and now >= self.warm_at:
             return 1.0
         members = pool.subset.members
-        return sum(self._returned(now, e) for e in members) / len(members)
+        return sum(self._part(now, e, self._warmth(now, e)) for e in members) / len(members)
 
     def _warmth(self, now: int, e: EndpointState) -> float:
         """The least part of its capacity that the endpoint has, by its stated start."""
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -15,7 +15,7 @@
     Placement,
     TokenBuckets,
 )
-from eiderhub.interface import Goal, Limits, Outcome, Prices
+from eiderhub.interface import Goal, Limits, ListForm, Outcome, Prices
 from tests.support import MS, SAFE, UNSAFE, Host, S, endpoints, settings
 
 
@@ -415,6 +415,37 @@
     assert far >= START_CALLS
 
 
+def sent_to(host: Host, endpoint: str, orders: int = 40) -> int:
+    """How many of so many new calls of a large tenant are sent to the endpoint."""
+    before = len(host.sends())
+    for _ in range(orders):
+        host.order(tenant="big")
+    return sum(send[2] == endpoint for send in host.sends()[before:])
+
+
+def test_the_calls_of_endpoints_that_leave_do_not_all_fall_on_the_rest() -> None:
+    """Found on join+vast: the cap of a zone of two stood whole on the one that a release had left."""
+    entries = endpoints(2)
+    host = Host(settings(balancers=1), entries)
+    host.balancer.discovery(host.now, ListForm.FULL, entries[:1])
+    most = START_CALLS + CHANCE_ROOTS_OUTSIDE * math.sqrt(START_CALLS) + 1
+    assert START_CALLS <= sent_to(host, entries[0].id) <= most
+
+
+def test_the_calls_of_a_cold_endpoint_do_not_fall_on_its_warm_peer() -> None:
+    warm, cold = endpoints(1), endpoints(1, start=1, launched=1_000_000_000)
+    host = Host(settings(balancers=1), warm + cold)
+    cap = (2 + host.balancer.settings.rules.cold_from - 1) * START_CALLS
+    assert START_CALLS <= sent_to(host, warm[0].id) <= cap + CHANCE_ROOTS_OUTSIDE * math.sqrt(cap) + 1
+
+
+def test_a_part_that_comes_back_brings_back_its_calls() -> None:
+    limit = ConcurrencyLimit(0)
+    for part in (2.0, 1.0, 0.0, 2.0):
+        limit.size(part)
+    assert limit.cap == 2 * START_CALLS
+
+
 def test_the_report_tells_refusals_by_reason_once() -> None:
     host = Host(settings(), endpoints(1))
     call = host.order(left=0)
