Spare endpoints in proportion to the service time that they report

Cause: what a copy learns from is the latency of its own few calls, most of which is the time of the tiers behind (315 ms, of which some 50 are the endpoint's own). Answers carry the endpoint's load report, which counts what all copies send; the sidecar and the adapter threw it away (host._ended, wirehost._reply).

Ruled out: the number waiting alone, which is 0 until the endpoint has jammed; calls to discovery; connections.

Now an endpoint whose report stands above three usual service times (the lower quartile of all reports) gets its part of draws, and of its pool's cap, in proportion, and the report is forgotten by halves each second.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -24,6 +24,7 @@
     Endpoint,
     Group,
     ListForm,
+    LoadReport,
     Outcome,
     Readiness,
     RequestClass,
@@ -112,6 +113,12 @@
 SLOW_RANGE = 4.0  # an endpoint counts as at most this many times slower or faster than its peers
 COLD_USE = 0.5  # of the multiple that a cold endpoint bears, the share that all copies together use
 RATE_RISE, RATE_FALL = 0.2, 0.01  # weight of the newest window in a pool's rate
+CROWDED = 3.0  # usual service times that an endpoint may report before it is spared in proportion
+CROWD_MOST = 30.0  # so many usual service times count as more do
+CROWD_WEIGHT = 0.5  # weight of the newest report in an endpoint's crowding
+CROWD_HALF_US = 1_000_000  # half of it is forgotten in this time: a spared endpoint reports seldom
+USUAL_PART = 0.75  # of reported service times that lie above the usual one
+USUAL_SHARE = 0.1  # share of the aim, divided by layer + 1, past which no service time is usual
 OUTLIER = 2.0  # endpoints slower than their peers by this are left out of the ratio and the cap
 
 # --- connections ---
@@ -293,6 +300,32 @@
         return max(0.0, 1.0 - self.value / STRESS_RATIO)
 
 
+class ServiceTimes:
+    """The service time that endpoints report while they are not crowded, as a share of the aim.
+
+    Danger: the latency of an outer call is mostly that of the tiers behind. It rises by half while the
+    endpoint's own part takes five times as long and a jam begins; and one copy sees few of the calls there.
+    """
+
+    def __init__(self, layer: int, now: int) -> None:
+        self.most = USUAL_SHARE / (layer + 1)
+        self.newer, self.older = Histogram(), Histogram()
+        self.turn = now + LONG_WINDOW_US
+        self.next_read = now
+        self.usual = 0.0  # 0: too few reports yet
+
+    def record(self, now: int, share: float) -> None:
+        self.newer.add(share)
+        if now < self.next_read:
+            return
+        self.next_read = now + RATIO_EVERY_US
+        if now >= self.turn:
+            self.turn = now + LONG_WINDOW_US
+            self.newer, self.older = Histogram(), self.newer
+        if self.newer.total + self.older.total >= MIN_SAMPLES:
+            self.usual = min(self.most, self.newer.above(USUAL_PART, self.older))
+
+
 class ConcurrencyLimit:
     """The in-flight cap of one pool, learned from outcomes: latencies as shares of their class's aim.
 
@@ -445,8 +478,9 @@
     """What this instance knows of one endpoint: its listing, own calls, health and slow start."""
 
     __slots__ = (
-        "cell", "credit", "credit_at", "declines", "ejected_until", "ejections", "failed_at", "failing", "id",
-        "in_flight", "kind", "launched", "order", "ready", "slow", "used", "weight", "zone",
+        "cell", "credit", "credit_at", "crowd", "crowd_at", "declines", "ejected_until", "ejections",
+        "failed_at", "failing", "id", "in_flight", "kind", "launched", "order", "ready", "slow", "used",
+        "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Endpoint) -> None:
@@ -459,6 +493,8 @@
         self.declines = 0  # calls turned away in a row
         self.credit = -1.0  # sends that it may have while cold; below 0: not begun
         self.credit_at = 0
+        self.crowd = 1.0  # reported service time over the usual one, with what waits
+        self.crowd_at = 0
         self.used = 0  # when a connection to it was last in use; 0: never
         self.ejected_until = 0
         self.ejections = 0
@@ -471,6 +507,7 @@
         if entry.launched_us != self.launched:  # a new process under a known id: what we knew is void
             self.launched = entry.launched_us
             self.credit = -1.0
+            self.crowd = 1.0
             self.failing = self.slow = 0.0
             self.ejected_until = self.ejections = 0
 
@@ -662,6 +699,7 @@
         self.calls: dict[str, Call] = {}
         self.buckets = TokenBuckets(s, self.random.randrange(REFILL_WINDOW_US), now_us)
         self.ratio = LatencyRatio(now_us)
+        self.services = ServiceTimes(s.layer, now_us)
         self.queue = HoldQueue(len(self.worth))
         self.retries = RetryBudget()
         self.refused: Counter[str] = Counter()  # since the last report, by reason
@@ -673,7 +711,6 @@
         }
         self.placements = list(placements.values())
         self.ejected: list[EndpointState] = []
-        self.warm_at = 0  # when the endpoint that started last is warm
         self.ready = 0
         self.fleet_failing = 0.0
         self.scarcity = 0.0  # share of late arrivals within their share that found no room at once
@@ -717,7 +754,6 @@
         s = self.settings
         ready = [e for e in self.endpoints.values() if e.ready]
         self.ready = len(ready)
-        self.warm_at = max((e.launched + s.rules.cold_us for e in ready if e.launched), default=0)
         for placement in self.placements:
             allowed = [e for e in ready if placement.allows(e)]
             near = [e for e in allowed if e.zone == s.zone]
@@ -780,8 +816,8 @@
                 )
                 busiest = sorted(pool.subset.members, key=lambda e: (-e.in_flight, e.id))[:REPORTED]
                 parts += [
-                    f"{e.id} {e.in_flight} out slow {e.slow:.1f} failing {e.failing:.2f}"
-                    f" part {self._part(now_us, e, self._warmth(now_us, e)):.2f}"
+                    f"{e.id} {e.in_flight} out slow {e.slow:.1f} crowd {e.crowd:.1f}"
+                    f" failing {e.failing:.2f} part {self._part(now_us, e, self._warmth(now_us, e)):.2f}"
                     for e in busiest
                 ]
         parts += [f"bucket {n} {b.tokens:.1f} +{b.refill:.1f}/s" for n, b in self.buckets.buckets.items()]
@@ -989,12 +1025,15 @@
         return best
 
     def _part(self, now: int, e: EndpointState, warmth: float) -> float:
-        """The part of a warm peer's calls that this endpoint may have: slow start, ejection and return.
+        """The part of a peer's calls that this endpoint may have: slow start, ejection and return, crowding.
 
         Rule 4: a draw that falls on a cold endpoint stands only with the probability of its least capacity,
         so each copy sends it that part of what its warm endpoints get, and so do all copies together.
         """
-        return warmth * self._returned(now, e)
+        part = warmth * self._returned(now, e)
+        if e.crowd > CROWDED:
+            part *= min(1.0, CROWDED / (1 + (e.crowd - 1) * 0.5 ** ((now - e.crowd_at) / CROWD_HALF_US)))
+        return part
 
     def _returned(self, now: int, e: EndpointState) -> float:
         """The part of its calls that an endpoint may have while it is ejected, and after."""
@@ -1004,13 +1043,11 @@
         return 0.0 if since < 0 else RETURN_FROM + (1 - RETURN_FROM) * since / RETURN_US
 
     def _in_use(self, now: int, pool: Pool) -> float:
-        """The part of a pool that is in use, neither ejected nor cold: as much of its cap is open.
+        """The part of a pool that is in use, not ejected, cold or crowded: as much of its cap is open.
 
         Danger: a cap learned with all endpoints falls on the few left and jams those in turn. Covers starts
         and whatever ejects. Could hurt where sound endpoints are ejected while others have room to spare.
         """
-        if not self.ejected and now >= self.warm_at:
-            return 1.0
         members = pool.subset.members
         return sum(self._part(now, e, self._warmth(now, e)) for e in members) / len(members)
 
@@ -1078,6 +1115,7 @@
         spent_us: int,
         closed: bool,
         outcome: Outcome,
+        load: LoadReport | None = None,
     ) -> None:
         found = self.calls.get(call)
         if found is None or attempt not in found.outstanding:
@@ -1094,6 +1132,8 @@
             long = spent_us > SILENT_RISE * pool.limit.median * found.grade.aim_us > 0
             if not silent or long or outcome is Outcome.RESET:
                 self.idle.learn(step, silent)
+        if load is not None:
+            self._note_load(now_us, e, pool.limit.base, load, found.grade.aim_us, spent_us)
         self._judge(now_us, found, e, pool, sent, spent_us, outcome)
         if outcome not in NEVER_RAN and (found.first_run is None or sent < found.first_run[0]):
             found.first_run = (sent, e.zone, e.cell)
@@ -1105,6 +1145,22 @@
         if self.queue.count:
             self._dispatch(now_us)
 
+    def _note_load(
+        self, now: int, e: EndpointState, base: float, load: LoadReport, aim: int, spent: int
+    ) -> None:
+        """Learn how crowded an endpoint is, by all copies together, from its own report."""
+        share = load.service_us / aim
+        self.services.record(now, share)
+        usual = self.services.usual
+        if not usual:
+            return
+        if base:  # Guards against a mean that still holds a trouble gone by: this very call was faster.
+            share = min(share, max(usual, usual + spent / aim - base))
+        in_service = max(1.0, load.served_per_s * load.service_us / 1e6)
+        crowd = min(CROWD_MOST, share / usual * (1 + load.pending / in_service))
+        e.crowd += CROWD_WEIGHT * (crowd - e.crowd)
+        e.crowd_at = now
+
     def _judge(
         self, now: int, call: Call, e: EndpointState, pool: Pool, sent: int, spent: int, outcome: Outcome
     ) -> None:
--- a/eiderhub/interface.py
+++ b/eiderhub/interface.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
@@ -74,6 +75,27 @@
     launched_us: int = 0
 
 
+class LoadReport(NamedTuple):
+    """What an endpoint tells of its load with an answer: it counts what all copies send."""
+
+    pending: float  # requests that wait
+    served_per_s: float
+    service_us: float  # recent service time, without waiting
+
+
+def read_load(text: str, sign: str) -> LoadReport | None:
+    """Read `name=value` pairs (`sign` stands between the two); None where the service time is not told."""
+    pairs = (pair.strip().partition(sign) for pair in text.split(","))
+    figures = {name: value for name, _, value in pairs}
+    try:
+        pending, served, service_ms = (float(figures.get(n, 0)) for n in ("pending", "served_ps", "svc_ms"))
+    except ValueError:
+        return None
+    if not (0 <= pending < math.inf and 0 <= served < math.inf and 0 < service_ms < math.inf):
+        return None
+    return LoadReport(pending, served, service_ms * 1000)
+
+
 def _require(ok: bool, key: str, why: str) -> None:
     if not ok:
         raise ValueError(f"{key}: {why}")
@@ -251,8 +273,9 @@
         spent_us: int,
         closed: bool,
         outcome: Outcome,
+        load: LoadReport | None = None,
     ) -> None:
-        """An attempt ended; `closed` says that the request is finished."""
+        """An attempt ended; `closed` says that the request is finished, `load` comes with answers."""
 
     def expired(self, now_us: int, call: str) -> None:
         """The client quit."""
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -19,7 +19,7 @@
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.sidecar.config import Config
 from eiderhub.sidecar.discovery import Listed, Watcher
-from eiderhub.sidecar.upstream import Attempt, Response, Upstream
+from eiderhub.sidecar.upstream import Attempt, Response, Upstream, load_of
 
 ANSWER_MARGIN_US = 40_000  # an answer leaves this long before the client's deadline: its bytes take time too
 log = logging.getLogger(__name__)
@@ -208,6 +208,7 @@
             spent,
             request.answered,
             outcome,
+            load_of(response) if response is not None else None,
         )
         if not told and not request.out:
             self._abandon(request, 500)
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -15,7 +15,7 @@
 
 import httptools
 
-from eiderhub.interface import Outcome
+from eiderhub.interface import LoadReport, Outcome, read_load
 from eiderhub.sidecar.bounds import Budget
 from eiderhub.sidecar.clock import Alarm, now_us
 
@@ -317,6 +317,14 @@
     return Outcome.ERROR
 
 
+def load_of(response: Response) -> LoadReport | None:
+    """The load report of an answer, where it holds one that can be read."""
+    for name, value in response.headers:
+        if name.lower() == b"srv-load":
+            return read_load(value.decode("latin-1"), "=")
+    return None
+
+
 class Upstream:
     """All pools, and the bound on their connections together."""
 
--- a/eiderhub/wirehost.py
+++ b/eiderhub/wirehost.py
@@ -14,7 +14,7 @@
 from typing import Any, TextIO
 
 from eiderhub.balancer import Balancer
-from eiderhub.interface import Endpoint, ListForm, Outcome, Readiness
+from eiderhub.interface import Endpoint, ListForm, Outcome, Readiness, read_load
 from eiderhub.settings import settings_from
 
 PAGES = 16  # manifests are numbered 0..15
@@ -197,7 +197,7 @@
         instance.order(self.now, call, grade, tenant, _int(left, "ExpiresInUs"), hint_us if valid else None)
 
     def _reply(self, parts: list[str]) -> None:
-        _, name, call, hop, endpoint, spent, closed, result, _stats = parts
+        _, name, call, hop, endpoint, spent, closed, result, stats = parts
         self._instance(name).reply(
             self.now,
             call,
@@ -206,6 +206,7 @@
             _int(spent, "SpentUs"),
             _code(BOOLS, closed, "Closed"),
             _code(OUTCOMES, result, "Result"),
+            read_load(stats, ":"),
         )
 
     def _wake(self, parts: list[str]) -> None:
--- a/tests/support.py
+++ b/tests/support.py
@@ -13,6 +13,7 @@
     Group,
     Limits,
     ListForm,
+    LoadReport,
     Outcome,
     Readiness,
     RequestClass,
@@ -108,10 +109,11 @@
         spent: int = 100 * MS,
         attempt: int = -1,
         closed: bool | None = None,
+        load: LoadReport | None = None,
     ) -> None:
         number = attempt if attempt >= 0 else len(self.sent[call]) - 1
         done = outcome is Outcome.OK if closed is None else closed
-        self.balancer.reply(self.now, call, number, self.sent[call][number], spent, done, outcome)
+        self.balancer.reply(self.now, call, number, self.sent[call][number], spent, done, outcome, load)
 
     def answer_all(self, spent: int = 100 * MS) -> None:
         """Serve the calls that are out."""
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -5,6 +5,8 @@
 import math
 from dataclasses import replace
 
+import pytest
+
 from eiderhub.balancer import (
     CHANCE_ROOTS_OUTSIDE,
     EJECT_US,
@@ -15,7 +17,7 @@
     Placement,
     TokenBuckets,
 )
-from eiderhub.interface import Goal, Limits, ListForm, Outcome, Prices
+from eiderhub.interface import Goal, Limits, ListForm, LoadReport, Outcome, Prices, read_load
 from tests.support import MS, SAFE, UNSAFE, Host, S, endpoints, settings
 
 
@@ -368,7 +370,7 @@
     for left in (100 * MS, 500 * MS):
         for _ in range(120):  # until this is the time that most tries last, so that it tells no age
             call = host.order(left=left)
-            host.answer_all(spent=400 * MS)
+            host.answer_all(spent=300 * MS)
         assert bool(host.sends(call)) is (left == 500 * MS)
 
 
@@ -439,6 +441,56 @@
     assert START_CALLS <= sent_to(host, warm[0].id) <= cap + CHANCE_ROOTS_OUTSIDE * math.sqrt(cap) + 1
 
 
+def crowd_by_report(host: Host, crowded: str, service_ms: int, rounds: int = 10) -> None:
+    """Serve calls, four at a time; the latency of the crowded endpoint is twice that of its peers."""
+    while host.balancer.calls:
+        host.answer_all(spent=300 * MS)
+    for _ in range(rounds):
+        for _ in range(4):
+            host.order(tenant="big")
+        host.advance(100 * MS)
+        for call in list(host.balancer.calls):
+            service, took = (service_ms, 600) if host.sent[call][-1] == crowded else (50, 300)
+            host.reply(call, Outcome.OK, spent=took * MS, load=LoadReport(0.0, 20.0, service * MS))
+
+
+def test_an_endpoint_that_reports_long_service_is_spared_though_its_latency_tells_little() -> None:
+    """Found on join+vast: all copies together jammed an endpoint before its latency had risen by half."""
+    entries = endpoints(2)
+    sent: dict[int, int] = {}
+    for service_ms in (50, 500):
+        host = Host(settings(balancers=1), entries)
+        crowd_by_report(host, "", 50)
+        crowd_by_report(host, entries[0].id, service_ms)
+        sent[service_ms] = sent_to(host, entries[0].id)
+        assert (host.balancer.placements[0].local.limit.open < 0.8) is (service_ms == 500)
+    assert sent[500] < 0.75 * sent[50]
+
+
+def test_a_report_of_long_service_is_forgotten_while_nothing_new_comes() -> None:
+    entries = endpoints(1)
+    host = Host(settings(balancers=1), entries)
+    crowd_by_report(host, "", 50)
+    crowd_by_report(host, entries[0].id, 500)
+    few = sent_to(host, entries[0].id)
+    while host.balancer.calls:
+        host.answer_all(spent=300 * MS)
+    host.advance(5 * S)
+    assert sent_to(host, entries[0].id) > few
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "-", "pending:1", "svc_ms:0", "svc_ms:nan", "svc_ms:1e999", "svc_ms:x", "pending:-1,svc_ms:5"],
+)
+def test_a_load_report_that_tells_no_service_time_is_none(text: str) -> None:
+    assert read_load(text, ":") is None
+
+
+def test_a_load_report_is_read_in_any_order_and_unknown_figures_are_skipped() -> None:
+    assert read_load("svc_ms=14.5, odd=1,served_ps=140,pending=3", "=") == LoadReport(3, 140, 14_500)
+
+
 def test_a_part_that_comes_back_brings_back_its_calls() -> None:
     limit = ConcurrencyLimit(0)
     for part in (2.0, 1.0, 0.0, 2.0):
@@ -458,7 +510,7 @@
     host = Host(settings(), endpoints(1) + endpoints(6, "west", start=1, launched=1_000_000_000 - 1 * S))
     host.order()
     line = host.balancer.report(host.now)
-    assert "10.0.0.0:80 1 out slow 0.0 failing 0.00 part 1.00" in line
+    assert "10.0.0.0:80 1 out slow 0.0 crowd 1.0 failing 0.00 part 1.00" in line
     assert line.count("part 0.28") == REPORTED
 
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -282,6 +282,19 @@
     run(test())
 
 
+def test_a_load_report_reaches_the_module() -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = await sidecar.client()
+            client.send()
+            report = "srv-load: pending=3,served_ps=140,svc_ms=14.5"
+            (await sidecar.endpoints[0].next()).reply(200, b"good", report)
+            assert (await client.answer()).status == 200
+            assert sidecar.host.balancer.services.newer.total == 1
+
+    run(test())
+
+
 def test_interim_answers_and_unreadable_load_reports_do_not_spoil_an_answer() -> None:
     async def test() -> None:
         async with Sidecar() as sidecar:
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -109,6 +109,21 @@
     assert not any(line.startswith("broken") for line in said)
 
 
+def test_a_load_report_reaches_the_module() -> None:
+    order = "order sidecar_0 00aa look first - 900000 - 0"
+    sent = play([*START, "sync 2000", order, "over_to_you"])
+    endpoint = next(line.split()[3] for line in sent if line.startswith("hand_off"))
+    reply = f"reply sidecar_0 00aa 0 {endpoint} 500 1 10 pending:1,served_ps:9.5,svc_ms:12.5"
+    host = WireHost(
+        io.StringIO(
+            "\n".join([*START, "sync 2000", order, "over_to_you", "sync 3000", reply, "over_to_you", ""])
+        ),
+        io.StringIO(),
+    )
+    host.run()
+    assert host.instances["sidecar_0"].services.newer.total == 1
+
+
 def test_exception_in_the_module_is_told() -> None:
     twice = ["order sidecar_0 00000000000000aa look - - 500000 - 0"] * 2
     said = play([*START, "sync 2000", *twice, "over_to_you"])
