Spare endpoints that answer none of a copy's calls before these time out

Now an endpoint with two calls out or more and no answer for three median latencies gets a tenth of its part until it answers or its calls end. Endpoints are spared from two usual service times on, not three: they hold 16 to 22 calls when the report passes three.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -113,10 +113,13 @@
 SLOW_RANGE = 4.0  # an endpoint counts as at most this many times slower or faster than its peers
 COLD_USE = 0.5  # of the multiple that a cold endpoint bears, the share that all copies together use
 RATE_RISE, RATE_FALL = 0.2, 0.01  # weight of the newest window in a pool's rate
-CROWDED = 3.0  # usual service times that an endpoint may report before it is spared in proportion
+CROWDED = 2.0  # usual service times that an endpoint may report before it is spared in proportion
 CROWD_MOST = 30.0  # so many usual service times count as more do
 CROWD_WEIGHT = 0.5  # weight of the newest report in an endpoint's crowding
 CROWD_HALF_US = 1_000_000  # half of it is forgotten in this time: a spared endpoint reports seldom
+QUIET_RISE = 3.0  # usual (median) latencies without any answer, while calls are out, after which it is spared
+QUIET_CALLS = 2  # so many at least
+QUIET_PART = 0.1  # the part of its calls that it has then
 USUAL_PART = 0.75  # of reported service times that lie above the usual one
 USUAL_SHARE = 0.1  # share of the aim, divided by layer + 1, past which no service time is usual
 OUTLIER = 2.0  # endpoints slower than their peers by this are left out of the ratio and the cap
@@ -479,8 +482,8 @@
 
     __slots__ = (
         "cell", "credit", "credit_at", "crowd", "crowd_at", "declines", "ejected_until", "ejections",
-        "failed_at", "failing", "id", "in_flight", "kind", "launched", "order", "ready", "slow", "used",
-        "weight", "zone",
+        "failed_at", "failing", "id", "in_flight", "kind", "launched", "order", "quiet_since", "ready",
+        "slow", "used", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Endpoint) -> None:
@@ -495,6 +498,7 @@
         self.credit_at = 0
         self.crowd = 1.0  # reported service time over the usual one, with what waits
         self.crowd_at = 0
+        self.quiet_since = 0  # its last answer, or the send from which one is awaited
         self.used = 0  # when a connection to it was last in use; 0: never
         self.ejected_until = 0
         self.ejections = 0
@@ -715,6 +719,7 @@
         self.fleet_failing = 0.0
         self.scarcity = 0.0  # share of late arrivals within their share that found no room at once
         self.fleet_latency = 0.0
+        self.quiet_us = 1 << 62  # silence that tells of an endpoint with calls out
         self.sweep_at = -1
         self.copies: deque[tuple[int, Call]] = deque()  # when a second copy of the call falls due
         self.ask_wait = ASK_BACKOFF_US
@@ -1033,6 +1038,11 @@
         part = warmth * self._returned(now, e)
         if e.crowd > CROWDED:
             part *= min(1.0, CROWDED / (1 + (e.crowd - 1) * 0.5 ** ((now - e.crowd_at) / CROWD_HALF_US)))
+        # Danger: an endpoint that takes calls and answers none is found by time-outs alone, seconds later and
+        # by every copy anew; until then the room that its calls hold is lost to the others.
+        # One call alone may just be heavy.
+        if e.in_flight >= QUIET_CALLS and self.quiet_us < now - e.quiet_since:
+            part *= QUIET_PART
         return part
 
     def _returned(self, now: int, e: EndpointState) -> float:
@@ -1087,6 +1097,7 @@
                 self._sweep_later(now)
         step = -1  # unknown: others are out, and which connection comes next is not told
         if not e.in_flight:
+            e.quiet_since = now
             step = self.idle.step(now - e.used) if e.used else IDLE_STEPS
             if self.idle.dead(step, self.random.random()):
                 self.actions.disconnect(e.id)
@@ -1132,6 +1143,8 @@
             long = spent_us > SILENT_RISE * pool.limit.median * found.grade.aim_us > 0
             if not silent or long or outcome is Outcome.RESET:
                 self.idle.learn(step, silent)
+        if outcome not in UNANSWERED and outcome is not Outcome.MOOT:
+            e.quiet_since = now_us
         if load is not None:
             self._note_load(now_us, e, pool.limit.base, load, found.grade.aim_us, spent_us)
         self._judge(now_us, found, e, pool, sent, spent_us, outcome)
@@ -1188,6 +1201,8 @@
             if not self.fleet_latency:
                 self.fleet_latency = share
             self.fleet_latency += FLEET_WEIGHT * (share - self.fleet_latency)
+            if pool.limit.median:
+                self.quiet_us = int(QUIET_RISE * pool.limit.median * call.grade.aim_us)
             relative = min(max(share / self.fleet_latency, 1 / SLOW_RANGE), SLOW_RANGE)
             e.slow = e.slow + SLOW_WEIGHT * (relative - e.slow) if e.slow else 0.5 + 0.5 * relative
         outlier = e.slow > OUTLIER and share > self.fleet_latency
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -10,6 +10,7 @@
 from eiderhub.balancer import (
     CHANCE_ROOTS_OUTSIDE,
     EJECT_US,
+    QUIET_RISE,
     REPORTED,
     SOJOURN_INTERVAL_US,
     START_CALLS,
@@ -441,15 +442,22 @@
     assert START_CALLS <= sent_to(host, warm[0].id) <= cap + CHANCE_ROOTS_OUTSIDE * math.sqrt(cap) + 1
 
 
+def serve_all(host: Host) -> None:
+    """Serve what is out, and let what is held find room or its end."""
+    for _ in range(20):
+        host.answer_all(spent=300 * MS)
+        host.advance(100 * MS)
+    assert not host.balancer.calls
+
+
 def crowd_by_report(host: Host, crowded: str, service_ms: int, rounds: int = 10) -> None:
     """Serve calls, four at a time; the latency of the crowded endpoint is twice that of its peers."""
-    while host.balancer.calls:
-        host.answer_all(spent=300 * MS)
+    serve_all(host)
     for _ in range(rounds):
         for _ in range(4):
             host.order(tenant="big")
         host.advance(100 * MS)
-        for call in list(host.balancer.calls):
+        for call in [c for c in host.sent if c in host.balancer.calls]:
             service, took = (service_ms, 600) if host.sent[call][-1] == crowded else (50, 300)
             host.reply(call, Outcome.OK, spent=took * MS, load=LoadReport(0.0, 20.0, service * MS))
 
@@ -473,8 +481,7 @@
     crowd_by_report(host, "", 50)
     crowd_by_report(host, entries[0].id, 500)
     few = sent_to(host, entries[0].id)
-    while host.balancer.calls:
-        host.answer_all(spent=300 * MS)
+    serve_all(host)
     host.advance(5 * S)
     assert sent_to(host, entries[0].id) > few
 
@@ -491,6 +498,28 @@
     assert read_load("svc_ms=14.5, odd=1,served_ps=140,pending=3", "=") == LoadReport(3, 140, 14_500)
 
 
+def test_an_endpoint_that_answers_none_of_its_calls_is_spared_before_they_time_out() -> None:
+    """Found on join+vast: calls at silent endpoints held a third of all room until they timed out."""
+    entries = endpoints(2)
+    host = Host(settings(balancers=1), entries)
+    crowd_by_report(host, "", 50)
+    for call in [host.order(tenant="big") for _ in range(12)]:
+        if host.sent[call][-1] == entries[1].id:
+            host.advance(20 * MS)
+            host.reply(call, Outcome.OK, spent=300 * MS)
+    host.advance(int(2 * 300 * MS))
+    assert host.balancer.placements[0].local.limit.open == 1.0
+    host.advance(int(QUIET_RISE * 300 * MS))
+    assert sent_to(host, entries[0].id) <= 1
+    assert host.balancer.placements[0].local.limit.open <= 0.6
+    waiting = next(
+        c for c, call in host.balancer.calls.items() if call.outstanding and host.sent[c][-1] == entries[0].id
+    )
+    host.reply(waiting, Outcome.OK, spent=2 * S)
+    host.order()
+    assert host.balancer.placements[0].local.limit.open == 1.0
+
+
 def test_a_part_that_comes_back_brings_back_its_calls() -> None:
     limit = ConcurrencyLimit(0)
     for part in (2.0, 1.0, 0.0, 2.0):
