Make first watches short, and ask again at once for a list that stops half way

Cause: after the 503s of the start the first watch that discovery takes falls silent, and a watch was given 30 s and 2 s more before it is asked again. A list that stops with its connection open was waited for as long, while what it tells counts as told (discovery.Watcher._ask); one that broke off went through the module's back-off first, 0.25 s or more.

Ruled out: back-off and refused calls (58 answers of 503, all before 2 s; those copies have a watch by then).

Now a watch waits 4 s at first and twice as long after each answered one, up to 30 s, less a random quarter; a begun answer that stops for 0.3 s, or breaks off, is asked for again at once, by that copy alone.

--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -11,12 +11,18 @@
 
 from eiderhub.interface import Endpoint, ListForm, Readiness
 from eiderhub.sidecar.bounds import Budget
-from eiderhub.sidecar.clock import UNIX_OFFSET_US
+from eiderhub.sidecar.clock import UNIX_OFFSET_US, now_us
 from eiderhub.sidecar.upstream import Connection, Response
 
 MAX_LIST = 2 << 20  # bytes of a list: some 200 for each endpoint
-WAIT_MS = 30_000  # a watch waits so long: discovery works through its calls in turn, so they should be few
-PATIENCE_S = 2.0  # and may be late by so much, as may a call that does not wait: then it counts as told
+WAIT_MS = (
+    4_000,
+    30_000,
+)  # a watch waits so long at first, and twice as long after each that was answered, up
+# to the second: discovery works through its calls in turn, so they should be few
+PATIENCE_S = 2.0  # a call that does not wait may be late by so much: then it counts as told
+WATCH_PATIENCE_S = 1.0  # and a watch by so much: 1 s later what it did not tell counts as told
+STALL_S = 0.3  # an answer is written in one go: one that stops for so long never ends
 CONNECT_S = 2.0
 BACKOFF_S = (0.25, 4.0)  # first and longest wait after a failure, where nobody else decides on it
 log = logging.getLogger(__name__)
@@ -30,6 +36,10 @@
     port: int
 
 
+class BrokenOff(Exception):
+    """An answer that has begun and will not come whole: there is news, and it counts as told."""
+
+
 class Listing(NamedTuple):
     generation: int
     whole: bool
@@ -83,6 +93,7 @@
         self.persist = persist  # lists are pushed: nobody asks again, so the watch itself goes on
         self.deliver = deliver
         self.moved = False  # the address is new and has told nothing yet
+        self.wait_ms = WAIT_MS[0]
         self._task: asyncio.Task[None] | None = None
         self._connection: Connection | None = None
         self._answer: asyncio.Future[Response] | None = None
@@ -110,10 +121,17 @@
         wait, most = BACKOFF_S
         while True:
             try:
-                listing = await self._ask()
+                try:
+                    listing = await self._ask()
+                except BrokenOff as error:
+                    # Rule 3: what it would have told binds from now on. Only who was cut off asks at once.
+                    log.warning("discovery: %s: asked again", error)
+                    self._hang_up()
+                    listing = await self._ask()
             except Exception as error:  # whatever it is, the list must not stay as it is for good
                 log.warning("discovery: %s: %s", type(error).__name__, error)
                 self._hang_up()
+                self.wait_ms = WAIT_MS[0]
                 # A reload is done once the new address has told its list: no longer back-off may stand above.
                 if not self.persist and not self.moved:
                     self._task = None
@@ -123,6 +141,7 @@
                 wait = min(2 * wait, most)
                 continue
             wait = BACKOFF_S[0]
+            self.wait_ms = min(2 * self.wait_ms, WAIT_MS[1])
             whole = listing.whole or self.moved
             self.generation, self.moved = listing.generation, False
             self.deliver(ListForm.FULL if whole else ListForm.DELTA, listing.entries)
@@ -135,16 +154,26 @@
                 await loop.create_connection(lambda: fresh, self.host, self.port)
             self._connection = fresh
         self._answer = loop.create_future()
-        path, wait_ms = "/discovery/hosts", 0
+        path, patience_s = "/discovery/hosts", PATIENCE_S
         if not self.moved:
-            path, wait_ms = f"{path}?after={self.generation}&wait_ms={WAIT_MS}", WAIT_MS
+            # Guards against copies that began in step: their watches would end in step for good.
+            wait_ms = int(self.wait_ms * random.uniform(0.75, 1.0))
+            path = f"{path}?after={self.generation}&wait_ms={wait_ms}"
+            patience_s = wait_ms / 1000 + WATCH_PATIENCE_S
         self._connection.send(f"GET {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n".encode())
-        async with asyncio.timeout(wait_ms / 1000 + PATIENCE_S):
-            response = await self._answer
+        async with asyncio.timeout(patience_s):
+            response = await self._whole(self._answer, self._connection)
         if response.status != 200:
             raise ValueError(f"answered {response.status}")
         return read_listing(json.loads(response.body))
 
+    async def _whole(self, answer: asyncio.Future[Response], connection: Connection) -> Response:
+        """The answer, once it has come whole; a watch may be silent for long, but not half way through."""
+        while not (await asyncio.wait((answer,), timeout=STALL_S))[0]:
+            if 0 < connection.heard_us < now_us() - STALL_S * 1e6:
+                raise BrokenOff("a list stopped half way")
+        return answer.result()
+
     def _hang_up(self) -> None:
         if self._connection is not None:
             self._connection.close()
@@ -156,4 +185,9 @@
 
     def on_lost(self, connection: Connection) -> None:
         if self._answer is not None and not self._answer.done():
-            self._answer.set_exception(ConnectionResetError("the connection ended"))
+            cut = (
+                BrokenOff("a list broke off")
+                if connection.cut
+                else ConnectionResetError("the connection ended")
+            )
+            self._answer.set_exception(cut)
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -67,6 +67,7 @@
         self.busy = False
         self.written = False  # whether the last byte of the request has left for the kernel
         self.lost = False
+        self.cut = False  # it ended within an answer
         self.idle_since = 0
         self.heard_us = 0  # when the last bytes of an answer that is not whole came; 0: none has begun
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
@@ -121,6 +122,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._parser = None  # it holds this connection in turn: a cycle, which is rarely collected
+        self.cut = self.heard_us > 0
         self._reset()
         if not self.lost:
             self.lost = True
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import signal
 from pathlib import Path
 
 import pytest
 
+from eiderhub.sidecar.discovery import WAIT_MS
 from tests.sidecar_support import Fake, Sidecar, listing, program, row, run
 
 
@@ -53,6 +55,48 @@
     run(test())
 
 
+@pytest.mark.parametrize("ends", [False, True])
+def test_a_list_that_stops_half_way_is_asked_for_again_at_once(ends: bool) -> None:
+    """Found on disco+vast: what it would have told counts as told, and the watch waited on for 32 s."""
+
+    async def test() -> None:
+        async with Sidecar(endpoints=2) as sidecar:
+            stays, goes = sidecar.endpoints
+            asked = await sidecar.discovery.next()
+            body = listing(2, True, row("s-0", stays.address))
+            asked.writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(body) + body[:-20])
+            await asked.writer.drain()
+            if ends:
+                asked.writer.close()
+            again = await asyncio.wait_for(sidecar.discovery.next(), 1.0)
+            assert again.message.first.startswith("GET /discovery/hosts?after=1&")
+            again.reply(200, body)
+            await sidecar.discovery.next()
+            assert list(sidecar.host.upstream.pools) == ["s-0"]
+            assert goes.asked.empty()
+
+    run(test())
+
+
+def test_the_first_watch_is_short_and_those_after_answered_ones_are_longer() -> None:
+    """Found on disco+vast: a watch that falls silent is found when its wait is over, 32 s later."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            waits = []
+            for generation in range(2, 7):
+                asked = await sidecar.discovery.next()
+                waits.append(int(asked.message.first.partition("wait_ms=")[2].partition(" ")[0]))
+                asked.reply(200, listing(generation, False))
+            assert WAIT_MS[0] * 0.75 <= waits[0] <= WAIT_MS[0]
+            assert waits[0] < waits[-1] <= WAIT_MS[1]
+            (await sidecar.discovery.next()).reply(503, b"")
+            asked = await sidecar.discovery.next()
+            assert int(asked.message.first.partition("wait_ms=")[2].partition(" ")[0]) <= WAIT_MS[0]
+
+    run(test())
+
+
 def test_move_to_the_same_address_takes_the_whole_list_again() -> None:
     async def test() -> None:
         async with Sidecar() as sidecar:
