Let small caps climb by a call a round where endpoints report crowds

A far cap that starts at 2.5 calls gets 8 to 12 outcomes in 1.5 s, which make a round, and climbs by 0.3 (ConcurrencyLimit.learn): from 2.8 to 2.6 to 3.0 in twelve seconds.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -77,6 +77,7 @@
 ROUND_PER_CALL = 1.5  # and so many more for each call of the cap
 GROW_SHARE = 0.1  # growth in a good round, as a share of the cap
 GROW_CALLS = 0.3  # and at least this many calls
+GROW_CALLS_TOLD = 1.0  # or this many, where the endpoints report when they are crowded
 DEEPEST_CUT = 0.6  # a bad round leaves at least this share of the cap
 FULL_COUNTS = 1.0  # an endpoint that turns a call away counts as a call that took this share of its aim
 BINDING = 0.7  # the cap binds when this share of it is in use
@@ -340,6 +341,7 @@
         self.cap = 0.0  # set when the first list comes
         self.floor = MIN_CAP
         self.open = 1.0  # the part of the cap whose endpoints are in use
+        self.told = False  # whether endpoints report when they are crowded
         self.fair = 0.0  # endpoints' worth that the cap stands for
         self.sure = 0.0  # up to here the cap climbs easily: what endpoints bear on any day
         self.in_flight = 0
@@ -415,7 +417,9 @@
             self.cap = max(self.floor, self.cap * max(DEEPEST_CUT, target / median))
             self.changed = now
         elif self._tried():
-            self.cap += max(GROW_CALLS, GROW_SHARE * self.cap)
+            # Danger: a copy of a large fleet sends few calls to the other zones: in so small steps its cap
+            # there takes ten seconds to double, while it refuses and they sit idle. Reports tell of a crowd.
+            self.cap += max(GROW_CALLS_TOLD if self.told else GROW_CALLS, GROW_SHARE * self.cap)
         self.round, self.bound = Histogram(), 0
 
     def _tried(self) -> bool:
@@ -1146,6 +1150,7 @@
         if outcome not in UNANSWERED and outcome is not Outcome.MOOT:
             e.quiet_since = now_us
         if load is not None:
+            pool.limit.told = True
             self._note_load(now_us, e, pool.limit.base, load, found.grade.aim_us, spent_us)
         self._judge(now_us, found, e, pool, sent, spent_us, outcome)
         if outcome not in NEVER_RAN and (found.first_run is None or sent < found.first_run[0]):
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -10,6 +10,7 @@
 from eiderhub.balancer import (
     CHANCE_ROOTS_OUTSIDE,
     EJECT_US,
+    GROW_CALLS_TOLD,
     QUIET_RISE,
     REPORTED,
     SOJOURN_INTERVAL_US,
@@ -520,6 +521,25 @@
     assert host.balancer.placements[0].local.limit.open == 1.0
 
 
+def test_a_small_cap_climbs_by_a_call_a_round_where_endpoints_report_crowds() -> None:
+    """Found on zone+vast: copies of a busy zone refused for ten seconds while far endpoints sat idle."""
+    grown: dict[bool, float] = {}
+    for told in (False, True):
+        entries = endpoints(1)
+        host = Host(settings(balancers=4), entries)
+        limit = host.balancer.placements[0].local.limit
+        load = LoadReport(0.0, 20.0, 50 * MS) if told else None
+        start = limit.cap
+        while limit.cap == start:
+            calls = [host.order(tenant="big") for _ in range(3)]
+            host.advance(300 * MS)
+            for call in [c for c in calls if c in host.sent and c in host.balancer.calls]:
+                host.reply(call, Outcome.OK, spent=300 * MS, load=load)
+        grown[told] = limit.cap - start
+    assert grown[False] < 0.5
+    assert grown[True] == GROW_CALLS_TOLD
+
+
 def test_a_part_that_comes_back_brings_back_its_calls() -> None:
     limit = ConcurrencyLimit(0)
     for part in (2.0, 1.0, 0.0, 2.0):
