Notice callers that leave while nothing is read from them, and send their requests to nobody

With a request waiting behind another, or answers unread, `_serve_next` and `pause_writing` pause reading, and the loop is told of no end then: the attempt of the request in front stayed out, and the one behind was sent on once the first was answered, however much later.

Ruled out, each by a test on real sockets that passed before the change too: held in the queue (`expired` takes the call out), while a connection comes up (`_data` gives no bytes for an answered request), between two attempts (`reply` is told `closed`). The two that wait on a paused connection failed before and pass now.

At fault: server.py, `_serve_next` (paused for the first request behind another) and `eof_received` (left the work to `connection_lost`, which waits for unread answers). Now reading goes on until MAX_WAITING requests wait, and a caller that is not read from is asked for its end every 0.1 s. The log counts these as 'left unread'.

--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import select
+import socket
 from http import HTTPStatus
 from typing import NamedTuple, cast
 
@@ -26,6 +27,7 @@
 CHECK_S = 0.1
 LINGER_S = 1.0  # how long input is still read after an answer that the caller may not be waiting for yet
 BACKLOG = 1024
+HUNG_UP = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 BUSY_WAIT = b"1"  # Retry-After where no memory is left
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 NOT_FORWARDED = HOP_BY_HOP | {b"req-deadline-ms"}  # it is told anew with each attempt
@@ -66,6 +68,7 @@
         self.ended = False  # nothing that still comes is read
         self.lost = False
         self.stuck = False  # the caller does not read its answers
+        self.paused = False  # nothing is read from it for now
         self.held = 0  # bytes of bodies, against the server's budget
         self.fault: Rejected | None = None
         self._body = bytearray()
@@ -109,7 +112,19 @@
         self._reject(fault)
 
     def eof_received(self) -> bool:
-        return False  # a caller that closes has gone away, whatever it still could read
+        self._leave()  # not first in `connection_lost`: that waits for answers which the caller leaves unread
+        return False
+
+    def _leave(self) -> None:
+        """The caller has gone away, whatever it still could read: nothing of its is sent on any more."""
+        if not self.ended:
+            self.since_us = now_us()
+        self.ended = True
+        self.waiting.clear()
+        current, self.current = self.current, None
+        if current is not None:
+            self.server.forget(self.request_id)
+            self.server.host.gone(current)
 
     def pause_writing(self) -> None:
         """Guards against answers that pile up unread: the next request waits until this one's has left."""
@@ -121,15 +136,11 @@
         asyncio.get_running_loop().call_soon(self._resume)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.ended = self.lost = True
-        self.waiting.clear()
+        self.lost = True
+        self._leave()
         self._parser = None  # it holds this connection in turn: a cycle, which is rarely collected
         self.server.left(self)
         self._let_go()
-        current, self.current = self.current, None
-        if current is not None:
-            self.server.forget(self.request_id)
-            self.server.host.gone(current)
 
     # --- the parser's calls ---
 
@@ -198,13 +209,14 @@
 
     def _serve_next(self) -> None:
         """Serve what waits, once the read that brought it is parsed whole and nothing is in the way."""
-        if self.waiting and self.current is None and not self.stuck and not self.lost:
+        if self.waiting and self.current is None and not self.stuck:
             self._serve(self.waiting.pop(0))
-        if self.waiting:
+        if len(self.waiting) >= MAX_WAITING:
             self._read(False)
 
     def _read(self, on: bool) -> None:
-        if not self.transport.is_closing():
+        if self.paused == on and not self.transport.is_closing():
+            self.paused = not on
             (self.transport.resume_reading if on else self.transport.pause_reading)()
 
     def _serve(self, incoming: Incoming) -> None:
@@ -265,7 +277,7 @@
 
     def _resume(self) -> None:
         self._serve_next()
-        if not self.waiting and not self.stuck:
+        if len(self.waiting) < MAX_WAITING and not self.stuck:
             self._read(True)
 
     def _finish(self) -> None:
@@ -287,6 +299,11 @@
 
     def check(self, now: int) -> None:
         """Close a caller that keeps its descriptor and asks for nothing."""
+        if self.paused and not self.ended and self.polled(HUNG_UP):
+            # While nothing is read the loop is told of no end, and what waits would be sent on for nobody.
+            self.server.host.tally["left unread"] += 1
+            self._leave()
+            self.transport.close()
         quiet_s = (now - self.since_us) / 1e6
         if self.current is not None or self.waiting:
             return
@@ -302,9 +319,16 @@
 
     def unread(self) -> bool:
         """Whether input waits in the kernel: closing now would cross a request, and that would fail."""
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return self.polled(select.POLLIN)
+
+    def polled(self, events: int) -> bool:
+        return polled(self.transport.get_extra_info("socket"), events)
+
+
+def polled(sock: socket.socket, events: int) -> bool:
+    poll = select.poll()
+    poll.register(sock.fileno(), events)
+    return bool(poll.poll(0))
 
 
 class Server:
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -411,12 +411,15 @@
         self.open -= 1
         return True
 
+    async def dial(self, connection: Connection, host: str, port: int) -> None:
+        await asyncio.get_running_loop().create_connection(lambda: connection, host, port)
+
     async def _connect(self, attempt: Attempt, pool: Pool) -> None:
         connection = Connection(pool, self.budget)
         try:
             # A machine that has vanished says nothing: a connection that does not come up has to be given up.
             async with asyncio.timeout(self.connect_timeout_s):
-                await asyncio.get_running_loop().create_connection(lambda: connection, pool.host, pool.port)
+                await self.dial(connection, pool.host, pool.port)
         except (OSError, TimeoutError):
             self.open -= 1
             attempt.end(Outcome.CONNECT_FAILED)
