--- a/tests/test_crowding.py
+++ b/tests/test_crowding.py
@@ -18,7 +18,7 @@
         self.us = now_us()
         for module in (host, server, upstream):
             monkeypatch.setattr(module, "now_us", lambda: self.us)
-        # Callers that are not yet in use would be closed in this time, when a slow machine comes to look at them.
+        # A slow machine comes to look at callers that are not yet in use, and would close them by this clock.
         monkeypatch.setattr(server, "FIRST_S", 3600.0)
         monkeypatch.setattr(server, "IDLE_S", 3600.0)
 
