Answer or turn away all that a draining sidecar has taken before it ends

At fault, each with a test that fails without its lines: - __main__.py, drain: the listener closed 0.6 s after SIGTERM with whatever the loop had not accepted yet; those connections are reset, and the kernel had taken what they ask. It stays open until its queue is empty. - host.py, fail_all: once all had their 504, what waited behind them, or came whole in the last 0.1 s, was still taken and sent on, and the process ended under it. It is turned away now (503), as are requests half come. - __main__.py, FLUSH_S: a fixed 0.1 s; now until all callers are gone, at most 0.2 s (SIGKILL: 0.3 s). - main: the loop and the interpreter give signals back on their way out, and SIGHUP then ended the process with -1. Ruled out: requests of kept connections (served, then closed between requests, `unread` looked at first).

--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -16,11 +16,11 @@
 from eiderhub.sidecar.host import Host
 from eiderhub.sidecar.server import Server
 
-ACCEPT_S = 0.6  # new connections are taken for so long after SIGTERM: the front sends some for up to 0.4 s
+ACCEPT_S = 0.6  # all is served for so long after SIGTERM at least: the front sends some for up to 0.4 s
 LONGEST_S = 3.0  # SIGKILL comes this, or the longest deadline if that is shorter, and 0.7 s after SIGTERM
 AFTER_LONGEST_S = 0.4  # so that everything is answered by then
 SERVE_SHARE = 0.75  # of that time, how long kept connections are served: the rest is for what is open then
-FLUSH_S = 0.1  # for the last bytes to leave
+FLUSH_S = 0.2  # for the last bytes to leave, and to turn away what still comes
 LAG_EVERY_S = 0.1
 LAG_LOG_S = 10.0
 LAG_WORTH_US = 50_000  # a lag that eats a good part of the margin for answers
@@ -75,14 +75,10 @@
     end = min(LONGEST_S, server.longest_s) + AFTER_LONGEST_S
     begun_us = now_us()
     server.draining = True
-    await asyncio.sleep(ACCEPT_S)
-    server.listener.close()
-    await asyncio.sleep(SERVE_SHARE * end - ACCEPT_S)
+    await asyncio.sleep(max(ACCEPT_S, SERVE_SHARE * end))
     server.leaving = True
     log.info("drain: %d callers, %d requests open", len(server.callers), len(host.requests))
-    while server.callers and now_us() < begun_us + int(end * 1e6):
-        server.close_idle()
-        await asyncio.sleep(0.01)
+    await _emptied(server, begun_us + int(end * 1e6))
     took_s = (now_us() - begun_us) / 1e6
     log.info(
         "drain: ends after %.1f s, %d callers, %d requests open",
@@ -90,9 +86,16 @@
         len(server.callers),
         len(host.requests),
     )
-    host.fail_all()
-    server.close_idle()
-    await asyncio.sleep(FLUSH_S)
+    host.end()
+    server.turn_away_unfinished()
+    await _emptied(server, now_us() + int(FLUSH_S * 1e6))
+
+
+async def _emptied(server: Server, until_us: int) -> None:
+    """Wait until all callers have their answers and are gone, or until that time."""
+    while not (server.shut() and not server.callers) and now_us() < until_us:
+        server.close_idle()
+        await asyncio.sleep(0.01)
 
 
 def reload(host: Host) -> None:
@@ -145,12 +148,14 @@
     )
     try:
         config = load(os.environ)
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config))
+        runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
+        runner.run(serve(config))
     except (ConfigError, OSError) as error:
         print(f"eiderhub.sidecar: {error}", file=sys.stderr)
         return 1
-    return 0
+    # Not by way of the interpreter's end: that gives signals back, and a reload that is asked for then, or a
+    # second SIGTERM, would end the process in its own way. All is answered, and the log is not buffered.
+    os._exit(0)
 
 
 if __name__ == "__main__":
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -73,6 +73,7 @@
         self.requests: dict[str, Request] = {}
         self.serial = 0
         self.tally: Counter[str] = Counter()  # since the last report: answers by status, attempts by outcome
+        self.ending = False  # nothing new is begun
         self.listed = False  # whether any list has named endpoints
         self.budget = Budget(config.bounds.held)  # for requests and answers alike
         self.upstream = Upstream(
@@ -132,6 +133,9 @@
         # An id of our own: a caller that repeats one must not meet what the module still holds under it.
         call = request.call = f"{self.serial:016x}"
         self.requests[call] = request
+        if self.ending:
+            self._answer(request, 503, [], b"")
+            return
         request.alarm = Alarm(request.due_us, partial(self._out_of_time, request))
         left = request.deadline_us - now_us()
         if not self._tell(self.balancer.order, call, request.grade, request.tenant, left, request.hint_us):
@@ -178,8 +182,9 @@
             attempt.drop(Outcome.TIMEOUT)
         self._abandon(request, 504)
 
-    def fail_all(self) -> None:
-        """The process ends: what is still open is answered now."""
+    def end(self) -> None:
+        """The process ends: what is open is answered now, and what still comes is turned away unsent."""
+        self.ending = True
         for request in list(self.requests.values()):
             self._abandon(request, 504)
 
--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -347,6 +347,7 @@
         self.tenants = {t.name for t in host.settings.tenants}
         self.draining = False  # no more callers are wanted
         self.leaving = False  # nor those that are here
+        self.closed = False
 
     async def bind(self, host: str, port: int) -> None:
         """Take the address; connections wait until the module has started."""
@@ -394,6 +395,19 @@
             for caller in list(self.callers):
                 caller.check(now)
 
+    def shut(self) -> bool:
+        """Take no more connections, once none waits to be taken: it would be reset, with what it asks."""
+        if not self.closed and not polled(self.listener.sockets[0], select.POLLIN):
+            self.closed = True
+            self.listener.close()
+        return self.closed
+
+    def turn_away_unfinished(self) -> None:
+        """Answer requests of which a part has come: the rest would be taken, and find nobody."""
+        for caller in list(self.callers):
+            if caller.receiving and not caller.ended:
+                caller.stop(Rejected(503, "this sidecar ends"))
+
     def close_idle(self) -> None:
         for caller in list(self.callers):
             if not caller.busy and not caller.ended and not caller.unread():
--- /dev/null
+++ b/tests/test_draining.py
@@ -0,0 +1,156 @@
+"""The end of a sidecar: all that it has taken by then is answered, and nothing is begun for nobody."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import socket
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from eiderhub.sidecar import __main__ as entry
+from tests.sidecar_support import Client, Sidecar, program, run
+
+
+@pytest.fixture
+def short(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A drain that is over soon."""
+    monkeypatch.setattr(entry, "ACCEPT_S", 0.0)
+    monkeypatch.setattr(entry, "LONGEST_S", 0.3)
+    monkeypatch.setattr(entry, "AFTER_LONGEST_S", 0.0)
+    monkeypatch.setattr(entry, "SERVE_SHARE", 0.1)
+    monkeypatch.setattr(entry, "FLUSH_S", 5.0)  # ample for a slow machine; it ends when all callers are gone
+
+
+class At(logging.Handler):
+    """Does something at the moment at which a line is logged, before the loop turns again."""
+
+    def __init__(self, text: str, act: Callable[[], None]) -> None:
+        super().__init__()
+        self.text = text
+        self.act = act
+
+    def emit(self, record: logging.LogRecord) -> None:
+        if record.getMessage().startswith(self.text):
+            self.act()
+
+
+@pytest.fixture
+def at(caplog: pytest.LogCaptureFixture) -> Callable[[str, Callable[[], None]], None]:
+    caplog.set_level(logging.INFO)
+    return lambda text, act: entry.log.addHandler(At(text, act))
+
+
+@pytest.fixture(autouse=True)
+def no_handlers_left() -> None:
+    entry.log.handlers.clear()
+
+
+REQUEST = (
+    b"POST /pay/a HTTP/1.1\r\nHost: s\r\nReq-Id: %d\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 9000\r\n"
+    b"Content-Length: 1\r\n\r\nx"
+)
+
+
+def test_connections_that_nobody_has_accepted_yet_are_served(
+    short: None, at: Callable[[str, Callable[[], None]], None]
+) -> None:
+    """The kernel has accepted them, so what they ask is taken: closing the listener would reset them."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            callers: list[socket.socket] = []
+
+            def connect() -> None:
+                for i in range(3):
+                    callers.append(socket.create_connection(("127.0.0.1", sidecar.port)))
+                    callers[-1].sendall(REQUEST % i)
+
+            at("drain: 0 callers", connect)
+            drain = asyncio.create_task(entry.drain(sidecar.server, sidecar.host))
+            for _ in range(3):
+                (await sidecar.endpoints[0].next()).reply()
+            for sock in callers:
+                client = Client(*await asyncio.open_connection(sock=sock))
+                assert (await client.answer()).status == 200
+            await drain
+
+    run(test())
+
+
+def test_requests_that_wait_behind_one_that_ends_are_turned_away_unsent(short: None) -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = await sidecar.client()
+            client.send(deadline_ms=30_000)
+            await sidecar.endpoints[0].next()
+            client.send(deadline_ms=30_000)
+            client.send(deadline_ms=30_000)
+            while sum(len(caller.waiting) for caller in sidecar.server.callers) < 2:
+                await asyncio.sleep(0.01)
+            await entry.drain(sidecar.server, sidecar.host)
+            assert [(await client.answer()).status for _ in range(3)] == [504, 503, 503]
+            assert await client.reader.read() == b""
+            assert sidecar.endpoints[0].asked.empty()
+            assert not sidecar.server.callers
+
+    run(test())
+
+
+def test_request_that_has_come_in_part_is_turned_away(short: None) -> None:
+    """Its last byte may come in the last moment: it would be taken then, and never answered."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = await sidecar.client()
+            client.writer.write(REQUEST[:-1] % 1)
+            while not any(caller.receiving for caller in sidecar.server.callers):
+                await asyncio.sleep(0.01)
+            drain = asyncio.create_task(entry.drain(sidecar.server, sidecar.host))
+            answer = await client.answer()
+            assert (answer.status, answer.headers["connection"]) == (503, "close")
+            client.writer.close()
+            await drain
+            assert sidecar.endpoints[0].asked.empty()
+
+    run(test())
+
+
+def test_request_that_comes_as_the_process_ends_is_turned_away_unsent(
+    short: None, at: Callable[[str, Callable[[], None]], None]
+) -> None:
+    """Seen in the code: it was sent on, and the process ended before its answer."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            busy, late = await sidecar.client(), socket.create_connection(("127.0.0.1", sidecar.port))
+            busy.send(deadline_ms=30_000)
+            await sidecar.endpoints[0].next()
+            late.sendall(REQUEST[:-1] % 1)
+            while not any(caller.receiving for caller in sidecar.server.callers):
+                await asyncio.sleep(0.01)
+            at("drain: ends", lambda: late.sendall(b"x" + REQUEST % 2))
+            await entry.drain(sidecar.server, sidecar.host)
+            client = Client(*await asyncio.open_connection(sock=late))
+            assert (await client.answer()).status == 503
+            assert (await busy.answer()).status == 504
+            assert sidecar.endpoints[0].asked.empty()
+
+    run(test())
+
+
+def test_reloads_asked_for_while_the_process_ends_do_not_change_how_it_ends(tmp_path: Path) -> None:
+    """The loop gives its signals back on its way out, and SIGHUP would then end the process."""
+
+    async def test() -> None:
+        async with program(tmp_path, {}) as running:
+            running.process.send_signal(signal.SIGTERM)
+            await running.line_with("drain: ends")
+            while running.process.poll() is None:
+                running.process.send_signal(signal.SIGHUP)
+            assert running.process.returncode == 0
+
+    run(test())
