Spare callers whose request waits to be read when one has to be closed for another

Found in the code, README's open point: a sidecar at its bound on callers (202 of 202) closes the oldest that has asked nothing yet, or the one idle longest. Many connect in one turn of the loop, so those may have asked by then, unread: a reset, and the request counts as refused or lost. At fault: server.py, `_spare`, which looked at what the loop had read and not at the socket. Both cases have a test on real sockets that failed before. Ruled out: `check` and `close_idle` look at unread input already.

--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -360,7 +360,8 @@
         """Take a connection in. Past the bound one is closed, so that no call ever lacks a descriptor.
 
         First one that never said anything of use, then the one idle longest, then one that is still writing
-        its first request; where all are at work, the new one, of which nothing has been read.
+        its first request; where all are at work, the new one, of which nothing has been read. One whose
+        request has come and only waits to be read is at work too.
         """
         if len(self.callers) >= self.most:
             victim = self._spare() or caller
@@ -373,13 +374,11 @@
         self.fresh[caller] = None
 
     def _spare(self) -> CallerConnection | None:
-        for caller in self.fresh:
-            if not caller.receiving:
-                return caller
-        longest = next(iter(self.idle), None)
-        if longest is not None and now_us() - longest.since_us > SPARE_S * 1e6:
-            return longest
-        return next(iter(self.fresh), None)
+        spare_us = now_us() - int(SPARE_S * 1e6)
+        silent = (caller for caller in self.fresh if not caller.receiving)
+        idle = (caller for caller in self.idle if caller.since_us < spare_us)
+        slow = (caller for caller in self.fresh if caller.receiving)
+        return next((c for group in (silent, idle, slow) for c in group if not c.unread()), None)
 
     def left(self, caller: CallerConnection) -> None:
         for group in (self.callers, self.fresh, self.idle):
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import os
+import socket
 import time
 from pathlib import Path
 
@@ -12,7 +13,7 @@
 
 from eiderhub.sidecar import server
 from eiderhub.sidecar.clock import now_us
-from tests.sidecar_support import Sidecar, program, ready, run
+from tests.sidecar_support import Client, Sidecar, program, ready, run
 
 
 def test_client_gone_stops_the_attempt() -> None:
@@ -202,6 +203,40 @@
     run(test())
 
 
+@pytest.mark.parametrize("asked_before", [False, True])
+def test_caller_whose_request_waits_to_be_read_is_not_closed_for_another(
+    asked_before: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Many may connect in one turn of the loop: the first has asked before the last is taken in."""
+
+    async def test() -> None:
+        monkeypatch.setattr(server, "SPARE_S", 0.0)
+        async with Sidecar(callers=2) as sidecar:
+            with socket.create_connection(("127.0.0.1", sidecar.port)) as first:
+                if asked_before:
+                    first.sendall(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
+                while not (sidecar.server.idle if asked_before else sidecar.server.fresh):
+                    await asyncio.sleep(0.01)
+                other = await sidecar.client()
+                if asked_before:
+                    assert await ready(other) == 200
+                joined = sidecar.server.joined
+
+                def at_that_moment(caller: server.CallerConnection) -> None:
+                    first.sendall(f"{HEAD}Content-Length: 1\r\n\r\nx".encode())
+                    joined(caller)
+
+                monkeypatch.setattr(sidecar.server, "joined", at_that_moment)
+                await sidecar.client()
+                assert await other.reader.read() == b""
+                (await sidecar.endpoints[0].next()).reply()
+                client = Client(*await asyncio.open_connection(sock=first.dup()))
+                for _ in range(1 + asked_before):
+                    assert (await client.answer()).status == 200
+
+    run(test())
+
+
 def test_bodies_past_the_memory_are_turned_away_unsent() -> None:
     async def test() -> None:
         async with Sidecar(held=1000) as sidecar:
