Keep connections of an endpoint's earlier process out of its next one's pool

Found in the code: `place` closed idle connections when an endpoint moved or restarted, and changed the pool's address under those in use or coming up. Once free these rested in the pool, and the next attempt was written to the old process: a reset that may have run, which an unsafe class can't repeat. The pool is retired now, as for a drain. At fault: upstream.py, `Upstream.place`. And a list with a port past 65535 is no list (`_entry`): an attempt there ended in an OverflowError in `_connect`, which counted its connection for good.

--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -60,8 +60,8 @@
         # 0 stands for long ago; the module's clock is monotonic, so a start may lie before its zero.
         launched_us=started_ms * 1000 - UNIX_OFFSET_US or 1 if started_ms else 0,
     )
-    if not host:
-        raise ValueError("hostPort")
+    if not host or not 0 < int(port) < 1 << 16:
+        raise ValueError("hostPort")  # an attempt there would end in an error that is no socket's
     return Listed(endpoint, host, int(port))
 
 
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -356,14 +356,16 @@
                     connection.fail("it stopped half way")
 
     def place(self, endpoint: str, host: str, port: int, launched_us: int) -> None:
-        """An endpoint that is ready; where its address is another, or its process, old connections go."""
+        """An endpoint that is ready; where its address is another, or its process, old connections go.
+
+        Those in use or coming up as well, once they are free: a pool holds connections to one process only.
+        """
         pool = self.pools.get(endpoint)
+        if pool is not None and (pool.host, pool.port, pool.launched_us) != (host, port, launched_us):
+            self.retire(endpoint)
+            pool = None
         if pool is None:
             self.pools[endpoint] = Pool(self, host, port, launched_us)
-            return
-        if (pool.host, pool.port, pool.launched_us) != (host, port, launched_us):
-            pool.close_idle()
-            pool.host, pool.port, pool.launched_us = host, port, launched_us
 
     def retire(self, endpoint: str) -> None:
         """An endpoint that drains or is gone: what it has may end, nothing new begins.
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -3,21 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 import time
+from typing import Any
 
 import pytest
 
-from eiderhub.interface import Outcome
+from eiderhub.interface import ListForm, Outcome
 from eiderhub.sidecar import host as hosting
 from eiderhub.sidecar import upstream
 from eiderhub.sidecar.bounds import Budget
+from eiderhub.sidecar.discovery import Listed, read_listing
 from eiderhub.sidecar.upstream import Attempt, Response, Upstream
 from tests.sidecar_support import (
     SETUP,
     Sidecar,
     first_asked,
+    listing,
     one_attempt,
+    row,
     run,
 )
 
@@ -190,6 +195,39 @@
     run(test())
 
 
+def test_connection_to_an_earlier_process_is_not_used_for_the_next() -> None:
+    """It was in use when the endpoint moved, and rested in the pool once it was free."""
+
+    async def test() -> None:
+        async with Sidecar(endpoints=2) as sidecar:
+            before, after = sidecar.endpoints
+            client = await sidecar.client()
+            sidecar.host.on_list(ListForm.FULL, listed(row("s-0", before.address)))
+            client.send()
+            asked = await before.next()
+            sidecar.host.on_list(ListForm.FULL, listed(row("s-0", after.address, started_ms=1)))
+            asked.reply()
+            assert (await client.answer()).status == 200
+            client.send()
+            asked = await first_asked(sidecar)
+            assert asked.writer in after.writers
+            asked.reply()
+            assert (await client.answer()).status == 200
+            assert sidecar.host.upstream.open == 1
+
+    run(test())
+
+
+@pytest.mark.parametrize("port", [0, 65_536])
+def test_a_list_with_an_impossible_port_is_no_list(port: int) -> None:
+    with pytest.raises(ValueError, match="hostPort"):
+        listed(row("s-0", f"127.0.0.1:{port}"))
+
+
+def listed(*rows: dict[str, Any]) -> list[Listed]:
+    return read_listing(json.loads(listing(2, True, *rows))).entries
+
+
 def test_connections_to_endpoints_stay_within_their_bound() -> None:
     async def test() -> None:
         async with Sidecar(endpoints=2, upstream=1) as sidecar:
