Ask at once for a list that was lost, whatever way, and soon after a pushed one's discovery is back

What a silent watch or an unreadable list would have told counts as told in the meantime. Only a list cut half way was asked for at once. At fault: discovery.py, `_run` (its general `except`), CONNECT_S of 2 s where 1 s is left, BACKOFF_S for pushed lists; balancer.py, the back-off that knew no AskEveryUs. DrainGraceUs and AskEveryUs are read. Kept on purpose: after a 503 or a reset that told nothing the back-off stands, or all copies would come at once. Tests on real sockets: silent, garbled, no list, too long, a connection that hangs, pushed lists after an outage.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -737,7 +737,9 @@
                 # Guards against all copies asking again in step after discovery has turned them away.
                 self.asking = True
                 self.actions.timer(int(self.ask_wait * (0.5 + self.random.random())), ASK)
-                self.ask_wait = min(2 * self.ask_wait, ASK_BACKOFF_MAX_US)
+                # After a failed call what changes counts as told in four times this: before that it is asked.
+                bound = max(ASK_BACKOFF_US, 2 * self.settings.rules.ask_every_us)
+                self.ask_wait = min(2 * self.ask_wait, ASK_BACKOFF_MAX_US, bound)
             return
         if form is not ListForm.CACHED:
             self.ask_wait = ASK_BACKOFF_US
--- a/eiderhub/interface.py
+++ b/eiderhub/interface.py
@@ -176,14 +176,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Rules:
-    """Figures of the cold rule; drains are kept at once, whatever their grace."""
+    """Figures of the rules on cold endpoints and drains; a drain that is told is kept at once."""
 
     cold_us: int = 10_000_000
     cold_from: float = 0.1
     overload_factor: float = 2.0
+    drain_grace_us: int = 1_500_000  # how soon what counts as told has to be known
+    ask_every_us: int = 10_000_000  # what nobody asked for counts as told so long after it came about
 
     def __post_init__(self) -> None:
         _require(self.cold_us >= 0, "cold_us", "must not be negative")
+        _require(self.drain_grace_us >= 0, "drain_grace_us", "must not be negative")
+        _require(self.ask_every_us >= 0, "ask_every_us", "must not be negative")
         _require(0 < self.cold_from <= 1, "cold_from", "must lie in (0, 1]")
         _require(self.overload_factor > 0, "overload_factor", "must be above 0")
 
--- a/eiderhub/settings.py
+++ b/eiderhub/settings.py
@@ -140,10 +140,14 @@
             "cold_us": "ColdUs",
             "cold_from": "ColdFrom",
             "overload_factor": "OverloadFactor",
+            "drain_grace_us": "DrainGraceUs",
+            "ask_every_us": "AskEveryUs",
         },
         cold_us=_get(figures, "ColdUs", int, "Rules.", 10_000_000),
         cold_from=float(_get(figures, "ColdFrom", number, "Rules.", 0.1)),
         overload_factor=float(_get(figures, "OverloadFactor", number, "Rules.", 2.0)),
+        drain_grace_us=_get(figures, "DrainGraceUs", int, "Rules.", 1_500_000),
+        ask_every_us=_get(figures, "AskEveryUs", int, "Rules.", 10_000_000),
     )
     parts = _get(setup, "Goal", dict, "", {})
     weight = {key: float(_get(parts, key, number, "Goal.", 0.0)) for key in BY_WORTH + BY_CLASS}
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -24,6 +24,9 @@
 WATCH_PATIENCE_S = 1.0  # and a watch by so much: 1 s later what it did not tell counts as told
 STALL_S = 0.3  # an answer is written in one go: one that stops for so long never ends
 CONNECT_S = 2.0
+AGAIN = 2  # times that what counts as told and did not come is asked for at once: all copies may do so
+AGAIN_CONNECT_S = 0.4  # 1 s is left to connect and to be told, so one that hangs must leave time for the next
+AGAIN_PAUSE_S = 0.22  # so long at least after an answer that tells nothing
 BACKOFF_S = (0.25, 4.0)  # first and longest wait after a failure, where nobody else decides on it
 log = logging.getLogger(__name__)
 
@@ -37,7 +40,11 @@
 
 
 class BrokenOff(Exception):
-    """An answer that has begun and will not come whole: there is news, and it counts as told."""
+    """A list that does not come, or not whole: what it would have told counts as told."""
+
+
+class Unreadable(Exception):
+    """An answer that is whole but no list: it counts as told too, and may come again just so."""
 
 
 class Listing(NamedTuple):
@@ -85,12 +92,16 @@
         port: int,
         generation: int,
         persist: bool,
+        grace_us: int,
         deliver: Callable[[ListForm, list[Listed]], None],
     ) -> None:
         self.host = host
         self.port = port
         self.generation = generation
         self.persist = persist  # lists are pushed: nobody asks again, so the watch itself goes on
+        # Where lists are pushed, news counts as told the moment that discovery is back, so nobody there is no
+        # reason to wait for long; a refusal is, for then it has too many callers.
+        self.prompt_s = min(BACKOFF_S[1], grace_us / 4e6) if persist else BACKOFF_S[1]
         self.deliver = deliver
         self.moved = False  # the address is new and has told nothing yet
         self.wait_ms = WAIT_MS[0]
@@ -121,13 +132,7 @@
         wait, most = BACKOFF_S
         while True:
             try:
-                try:
-                    listing = await self._ask()
-                except BrokenOff as error:
-                    # Rule 3: what it would have told binds from now on. Only who was cut off asks at once.
-                    log.warning("discovery: %s: asked again", error)
-                    self._hang_up()
-                    listing = await self._ask()
+                listing = await self._told()
             except Exception as error:  # whatever it is, the list must not stay as it is for good
                 log.warning("discovery: %s: %s", type(error).__name__, error)
                 self._hang_up()
@@ -137,20 +142,42 @@
                     self._task = None
                     self.deliver(ListForm.FAILED, [])
                     return
-                await asyncio.sleep(wait * random.uniform(0.5, 1.5))
+                longest = self.prompt_s if isinstance(error, OSError) else most
+                await asyncio.sleep(min(wait, longest) * random.uniform(0.5, 1.5))
                 wait = min(2 * wait, most)
                 continue
             wait = BACKOFF_S[0]
-            self.wait_ms = min(2 * self.wait_ms, WAIT_MS[1])
             whole = listing.whole or self.moved
             self.generation, self.moved = listing.generation, False
             self.deliver(ListForm.FULL if whole else ListForm.DELTA, listing.entries)
 
-    async def _ask(self) -> Listing:
+    async def _told(self) -> Listing:
+        """What discovery tells next. Rule 3: what was lost on the way binds all the same, so it is asked for
+        again at once, on a new connection; only who was cut off does so."""
+        lost: Exception
+        try:
+            listing = await self._ask(CONNECT_S)
+            self.wait_ms = min(2 * self.wait_ms, WAIT_MS[1])
+            return listing
+        except (BrokenOff, Unreadable) as error:
+            lost = error
+        self.wait_ms = WAIT_MS[0]
+        for _ in range(AGAIN):
+            log.warning("discovery: %s: %s: asked again", type(lost).__name__, lost)
+            self._hang_up()
+            if not isinstance(lost, OSError | BrokenOff):
+                await asyncio.sleep(AGAIN_PAUSE_S * random.uniform(1.0, 1.4))
+            try:
+                return await self._ask(AGAIN_CONNECT_S)
+            except Exception as error:
+                lost = error
+        raise lost
+
+    async def _ask(self, connect_s: float) -> Listing:
         loop = asyncio.get_running_loop()
         if self._connection is None or self._connection.lost:
             fresh = Connection(self, Budget(MAX_LIST), MAX_LIST)
-            async with asyncio.timeout(CONNECT_S):
+            async with asyncio.timeout(min(connect_s, max(self.prompt_s, AGAIN_CONNECT_S))):
                 await loop.create_connection(lambda: fresh, self.host, self.port)
             self._connection = fresh
         self._answer = loop.create_future()
@@ -161,11 +188,17 @@
             path = f"{path}?after={self.generation}&wait_ms={wait_ms}"
             patience_s = wait_ms / 1000 + WATCH_PATIENCE_S
         self._connection.send(f"GET {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n".encode())
-        async with asyncio.timeout(patience_s):
-            response = await self._whole(self._answer, self._connection)
+        try:
+            async with asyncio.timeout(patience_s):
+                response = await self._whole(self._answer, self._connection)
+        except TimeoutError:
+            raise BrokenOff("it fell silent") from None
         if response.status != 200:
             raise ValueError(f"answered {response.status}")
-        return read_listing(json.loads(response.body))
+        try:
+            return read_listing(json.loads(response.body))
+        except (ValueError, RecursionError) as error:
+            raise Unreadable(str(error)) from None
 
     async def _whole(self, answer: asyncio.Future[Response], connection: Connection) -> Response:
         """The answer, once it has come whole; a watch may be silent for long, but not half way through."""
@@ -185,9 +218,7 @@
 
     def on_lost(self, connection: Connection) -> None:
         if self._answer is not None and not self._answer.done():
-            cut = (
-                BrokenOff("a list broke off")
-                if connection.cut
-                else ConnectionResetError("the connection ended")
+            begun = connection.cut or connection.heard_us > 0
+            self._answer.set_exception(
+                BrokenOff("a list broke off") if begun else ConnectionResetError("the connection ended")
             )
-            self._answer.set_exception(cut)
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -87,6 +87,7 @@
             config.discovery.port,
             config.known.generation,
             settings.discovery is Discovery.PUSH,
+            settings.rules.drain_grace_us,
             self.on_list,
         )
         self.balancer = Balancer(settings, config.seed, self)
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -135,6 +135,7 @@
             self.fail("bytes that nobody asked for")
             return
         in_head = self._in_head
+        self.heard_us = now_us()
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -147,7 +148,6 @@
         if self._response is not None:
             self._complete(self._response)
             return
-        self.heard_us = now_us()
         # Guards against a head that never ends, or interim answers without end.
         self._head_size += len(data) if in_head else 0
         if in_head and self._in_head and self._head_size > MAX_HEAD:
