Start where tier names are left out, and end plainly at numbers past all bounds

Found in the code: `tiers` fell back to one name, so an inner tier without `Tiers` failed at its start; numbers that no float holds, an infinite limit, and JSON nested too deep ended in a traceback (settings.py; config.py, `load`, `_document`, `_limit`). Names of tiers are used for nothing. Tests start the program; each failed before.

--- a/eiderhub/settings.py
+++ b/eiderhub/settings.py
@@ -158,7 +158,8 @@
         by_worth=sum(weight[key] for key in BY_WORTH) if parts else 1.0,
         by_class=sum(weight[key] for key in BY_CLASS),
     )
-    tiers = _get(setup, "Tiers", list, "", [""])
+    layer = _get(setup, "Layer", int, "", 0)
+    tiers = _get(setup, "Tiers", list, "", [""] * (layer + 1))  # their names are used for nothing
     return _fields(  # type: ignore[no-any-return]
         Settings,
         "",
@@ -174,7 +175,7 @@
         classes=tuple(classes),
         rank=_get(setup, "Rank", int, "", 0),
         balancers=_get(setup, "Balancers", int, "", 1),
-        layer=_get(setup, "Layer", int, "", 0),
+        layer=layer,
         tiers=len(tiers),
         zone=_get(setup, "MyZone", str, "", ""),
         tenants=tuple(tenants),
--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -56,7 +56,7 @@
         document = json.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise ConfigError(f"GW_CONFIG: {path}: {error.strerror}") from None
-    except ValueError:
+    except (ValueError, RecursionError):
         raise ConfigError(f"GW_CONFIG: {path}: no JSON") from None
     if not isinstance(document, dict):
         raise ConfigError(f"GW_CONFIG: {path}: must be an object")
@@ -66,7 +66,7 @@
 def _limit(document: dict[str, Any], key: str, default: int) -> float:
     limits = document.get("limits")
     value = limits.get(key, default) if isinstance(limits, dict) else default
-    if isinstance(value, bool) or not isinstance(value, int | float) or not value >= 1:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 1 <= value < 1 << 53:
         raise ConfigError(f"limits.{key}: impossible value {value!r}")
     return float(value)
 
@@ -83,11 +83,11 @@
     document = _document(path)
     try:
         settings = settings_from(document.get("settings"))
-    except ValueError as error:
+    except (ValueError, OverflowError) as error:
         raise ConfigError(f"settings: {error}") from None
     try:
         known = read_listing(document.get("known"))
-    except ValueError as error:
+    except (ValueError, OverflowError) as error:
         raise ConfigError(f"known: {error}") from None
     return Config(
         name=environ.get("GW_NAME") or str(document.get("name", "")),
