Scale the margins before a deadline to short deadlines

Found in the code: an answer left 40 ms before the client's deadline (host.py) and nothing was sent again in the last 60 ms (balancer.py, `_hold`, `_again`), fixed for one customer's 4 s: a try of 40 ms was failed unsent, one of 60 ms never tried again where it surely had not run. Now at most a tenth, and 15%, of the time it came with. Two tests that stretch the host's margin to leave a slow machine time stretch its share as well; what they assert is unchanged.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -92,6 +92,7 @@
 SOJOURN_INTERVAL_US = 200_000  # sojourn above target for this long refuses arrivals
 SWEEP_US = 20_000  # how often held calls are looked at
 ANSWER_MARGIN_US = 60_000  # a held call is answered this long before its try ends: early enough to be retried
+MARGIN_SHARE = 0.15  # but at most this share of the time that it came with
 
 # --- endpoints ---
 SENT_DECAY = 0.95  # of the work sent, kept from one refill window to the next: a memory of ten seconds
@@ -561,7 +562,7 @@
 
     __slots__ = (
         "answered", "arrived", "attempts", "bucket", "due", "first_run", "grade", "held_until", "id", "level",
-        "outstanding", "paid", "price",
+        "margin", "outstanding", "paid", "price",
     )  # fmt: skip
 
     def __init__(
@@ -571,6 +572,7 @@
         self.grade = grade
         self.arrived = now
         self.due = due  # until when an answer is worth something: the end of the try, or the aim before it
+        self.margin = min(ANSWER_MARGIN_US, max(0, int(MARGIN_SHARE * (due - now))))
         self.attempts: list[tuple[EndpointState, int, Pool, int]] = []
         self.outstanding: set[int] = set()
         self.first_run: tuple[int, str, int] | None = None  # earliest attempt known to may have run
@@ -893,7 +895,7 @@
 
     def _hold(self, now: int, call: Call) -> None:
         share = HOLD_SHARE_INSIDE if self.settings.layer else HOLD_SHARE
-        until = min(now + int(share * call.grade.aim_us), call.due - ANSWER_MARGIN_US)
+        until = min(now + int(share * call.grade.aim_us), call.due - call.margin)
         if until <= now:
             self._refuse(call, "short")
             return
@@ -1245,7 +1247,7 @@
         s = self.settings
         tries = min(MAX_TRIES if s.layer == 0 else MAX_TRIES_INSIDE, s.limits.max_attempts)
         legal = call.first_run is None or call.grade.effect is not Effect.AT_MOST_ONCE
-        legal = legal and len(call.attempts) < tries and now < call.due - ANSWER_MARGIN_US
+        legal = legal and len(call.attempts) < tries and now < call.due - call.margin
         # What was turned away unseen made no work: the budget is for retries of what may have.
         if legal and (outcome in NEVER_RAN or self.retries.spend()):
             for pool in self.placement[call.grade.name].pools:
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -22,6 +22,7 @@
 from eiderhub.sidecar.upstream import Attempt, Response, Upstream, load_of
 
 ANSWER_MARGIN_US = 40_000  # an answer leaves this long before the client's deadline: its bytes take time too
+MARGIN_SHARE = 0.1  # but at most this share of the time that is left: of a short one much would be lost
 log = logging.getLogger(__name__)
 
 
@@ -54,7 +55,10 @@
         self.tenant = tenant
         self.hint_us = hint_us
         self.deadline_us = deadline_us  # when the client gives up
-        self.due_us = deadline_us - ANSWER_MARGIN_US  # when the answer leaves at the latest
+        # When the answer leaves at the latest.
+        self.due_us = deadline_us - min(
+            ANSWER_MARGIN_US, max(0, int(MARGIN_SHARE * (deadline_us - now_us())))
+        )
         self.head = head  # request line and headers for endpoints, but for the time that is left
         self.body = body
         self.call = ""
--- /dev/null
+++ b/tests/test_other_settings.py
@@ -0,0 +1,31 @@
+"""Settings of other customers: short deadlines and windows, and keys that are left out."""
+
+from __future__ import annotations
+
+import pytest
+
+from eiderhub.interface import Effect, Outcome, RequestClass
+from eiderhub.sidecar.clock import now_us
+from eiderhub.sidecar.host import Request
+from tests.support import MS, Host, endpoints, settings
+
+
+class Nobody:
+    def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None: ...
+
+
+def test_a_short_deadline_leaves_time_for_an_answer() -> None:
+    """A margin of 40 ms ended a request of 40 ms before it was sent anywhere."""
+    before = now_us()
+    request = Request(Nobody(), "look", None, None, before + 40 * MS, b"", b"")
+    assert before + 30 * MS < request.due_us < request.deadline_us
+
+
+@pytest.mark.parametrize("turned_away", [Outcome.FULL, Outcome.CONNECT_FAILED])
+def test_a_short_try_that_never_ran_is_sent_again(turned_away: Outcome) -> None:
+    short = RequestClass("look", 60 * MS, 60 * MS, Effect.AT_MOST_ONCE)
+    host = Host(settings(classes=(short,)), endpoints(4))
+    call = host.order(left=60 * MS)
+    host.advance(5 * MS)
+    host.reply(call, turned_away, spent=5 * MS)
+    assert len(host.sends(call)) == 2
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -166,6 +166,7 @@
     async def test() -> None:
         async with Sidecar() as sidecar:
             monkeypatch.setattr(hosting, "ANSWER_MARGIN_US", 1_800_000)
+            monkeypatch.setattr(hosting, "MARGIN_SHARE", 1.0)
             monkeypatch.setattr(sidecar.host.balancer, "order", lambda *_: None)
             begun = time.monotonic()
             assert (await (await sidecar.client()).ask(deadline_ms=2000)).status == 504
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -88,6 +88,7 @@
 ) -> None:
     async def test() -> None:
         monkeypatch.setattr(hosting, "ANSWER_MARGIN_US", 1_800_000)  # leaves a slow machine ample time
+        monkeypatch.setattr(hosting, "MARGIN_SHARE", 1.0)
         async with Sidecar() as sidecar:
             client = await sidecar.client()
             begun = time.monotonic()
