--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -1021,7 +1021,8 @@
             if call.first_run is not None and not may_resend(
                 call.grade.effect,
                 call.grade.group,
-                call.grade.dedup_window_us,
+                # What is sent now leaves once its connection is up, and has to leave within the window.
+                call.grade.dedup_window_us - self.settings.limits.connect_timeout_us,
                 call.first_run,
                 now,
                 (e.zone, e.cell),
--- a/tests/test_other_settings.py
+++ b/tests/test_other_settings.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from eiderhub.interface import Effect, Outcome, RequestClass
+from eiderhub.interface import Effect, Group, Limits, Outcome, RequestClass
 from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.host import Request
 from tests.support import MS, Host, endpoints, settings
@@ -29,3 +29,14 @@
     host.advance(5 * MS)
     host.reply(call, turned_away, spent=5 * MS)
     assert len(host.sends(call)) == 2
+
+
+@pytest.mark.parametrize("after_ms", [700, 800])
+def test_a_repeat_that_needs_a_new_connection_leaves_within_the_window(after_ms: int) -> None:
+    """The window counts to the send, and a connection may come up so long after the module asks for it."""
+    keyed = RequestClass("hold", 5000 * MS, 5000 * MS, Effect.DEDUPLICATED, Group.ALL, 1000 * MS)
+    host = Host(settings(classes=(keyed,), limits=Limits(connect_timeout_us=250 * MS)), endpoints(4))
+    call = host.order("hold", left=5000 * MS)
+    host.advance(after_ms * MS)
+    host.reply(call, Outcome.ERROR, spent=after_ms * MS)
+    assert len(host.sends(call)) == (2 if after_ms + 250 <= 1000 else 1)
