Fail, and do not refuse, a request in front where no memory is left for the one behind

Found in the code: server.py, `stop`: the 503 for what came behind is the first answer on the connection, so it was the refusal of a request whose attempt was out: for an unsafe class that breaks the rule on refusals. Ruled out: all other faults behind a request are 4xx, which promise nothing. Test on real sockets, failed before.

--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -109,6 +109,8 @@
         """
         if self.current is not None:
             self.server.host.gone(self.current)
+            if fault.status == 503:  # Rule 2: it would tell that the request in front never ran
+                fault = Rejected(500, str(fault))
         self._reject(fault)
 
     def eof_received(self) -> bool:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -257,6 +257,21 @@
     run(test())
 
 
+def test_no_memory_behind_a_request_that_may_have_run_is_no_refusal_of_that() -> None:
+    """The first answer on a connection is the first request's, and 503 promises that it never ran."""
+
+    async def test() -> None:
+        async with Sidecar(held=1000) as sidecar:
+            client = await sidecar.client()
+            client.send("pay", body=b"x" * 700)
+            await sidecar.endpoints[0].next()
+            client.send("pay", body=b"x" * 700)
+            assert (await client.answer()).status == 500
+            assert sidecar.host.serial == 1
+
+    run(test())
+
+
 def test_caller_that_reads_no_answer_gets_no_more_of_them(monkeypatch: pytest.MonkeyPatch) -> None:
     """Answers pile up in this process where their caller does not read them."""
 
