Ask at the moment of sending whether the client has gone

Cause: the host knew of a client's end only from the loop. While that end waits in the kernel, behind the event that sends an attempt or because reading is paused (server.CHECK_S, 0.1 s and the loop's lag on top), the attempt was still written: a held call that is dispatched, a connection that has just come up, a declined attempt that is read first, the request behind an answered one of a paused caller.

Change: Host._data asks the caller, Upstream.send asks before it opens a connection. A caller connection polls its socket for POLLRDHUP, POLLHUP and POLLERR with no wait, so an end behind unread bytes counts too. The attempt ends MOOT; the request is closed as by Host.gone, a step later, since the module may be at work above.

Ruled out: looking at all callers more often than each 0.1 s (costs by callers, not by attempts, and leaves a gap all the same).

Two callers in tests got the new method of the protocol, which answers no.

--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -31,6 +31,10 @@
 
     def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None: ...
 
+    def departed(self) -> bool:
+        """Whether it has gone away, though the loop may not have told so yet."""
+        ...
+
 
 class Request:
     """One request that was taken, and its attempts."""
@@ -196,10 +200,18 @@
     # --- attempts ---
 
     def _data(self, request: Request, until_us: int, now: int) -> bytes | None:
-        """The bytes of an attempt that is written now; none once the request is over."""
+        """The bytes of an attempt that is written now; none once the request is over, or nobody waits for it.
+
+        Asked at the last moment: on a busy loop, or while nothing is read from the caller, its leaving waits
+        in the kernel behind the very event that sends the attempt.
+        """
         left_ms = (until_us - now) // 1000
         if request.answered or left_ms < 1:
             return None
+        if request.caller.departed():
+            # Later, for the module may be at work above.
+            asyncio.get_running_loop().call_soon(self.gone, request)
+            return None
         return b"%sReq-Deadline-Ms: %d\r\n\r\n%s" % (request.head, left_ms, request.body)
 
     def _ended(self, request: Request, attempt: Attempt, outcome: Outcome, response: Response | None) -> None:
--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -71,6 +71,7 @@
         self.paused = False  # nothing is read from it for now
         self.held = 0  # bytes of bodies, against the server's budget
         self.fault: Rejected | None = None
+        self._departure: select.poll | None = None
         self._body = bytearray()
         self._in_head = True
         self._head_fed = 0  # bytes of a head that has not come whole; the parser keeps what has no end yet
@@ -319,6 +320,18 @@
         elif quiet_s > (IDLE_S if self.known else FIRST_S) and (self.stuck or not self.unread()):
             self.transport.abort()
 
+    def departed(self) -> bool:
+        """Whether the kernel has the caller's end, reset, close or half-close, whatever is unread before it.
+
+        The loop learns of it later: behind other events, and not at all while reading is paused.
+        """
+        if self.lost or self.transport.is_closing():  # the descriptor may be another's by now
+            return True
+        if self._departure is None:
+            self._departure = select.poll()
+            self._departure.register(self.transport.get_extra_info("socket").fileno(), HUNG_UP)
+        return bool(self._departure.poll(0))
+
     def unread(self) -> bool:
         """Whether input waits in the kernel: closing now would cross a request, and that would fail."""
         return self.polled(select.POLLIN)
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -223,7 +223,7 @@
     ) -> None:
         self.number = number
         self.endpoint = endpoint
-        self.data = data  # the bytes to send, made as they go out, or None where the time is up
+        self.data = data  # the bytes to send, made as they go out, or None where nobody waits any more
         self.on_end = on_end
         self.sent_us = now_us()
         self.connection: Connection | None = None
@@ -393,6 +393,8 @@
         if connection is not None:
             self.tally["reused"] += 1
             self._write(attempt, connection, pool)
+        elif attempt.data(now_us()) is None:  # no connection either is opened for nobody
+            loop.call_soon(attempt.end, Outcome.MOOT)
         elif self.open < self.most or self._make_room():
             self.open += 1
             self.tally["opened"] += 1
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
+import time
+from collections.abc import Callable
 
 import pytest
 
 from eiderhub.interface import ListForm
 from eiderhub.sidecar import server
 from eiderhub.sidecar.discovery import read_listing
-from tests.sidecar_support import SETUP, Client, Sidecar, first_asked, row, run
+from eiderhub.sidecar.upstream import Connection
+from tests.sidecar_support import SETUP, Client, Sidecar, first_asked, read_message, row, run
 
 
 async def noticed(sidecar: Sidecar) -> None:
@@ -141,3 +146,224 @@
             await only_this_arrives(sidecar, other)
 
     run(test())
+
+
+# --- the client's end waits in the kernel when its request is about to be sent ---
+
+
+def reset(client: socket.socket) -> None:
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.close()
+
+
+def close(client: socket.socket) -> None:
+    client.close()
+
+
+def half_close(client: socket.socket) -> None:
+    client.shutdown(socket.SHUT_WR)
+
+
+def half_close_behind_more(client: socket.socket) -> None:
+    """The kernel has bytes of a next request in front of the end."""
+    client.sendall(b"GET /look/b HTTP/1.1\r\nHost: service.internal\r\n")
+    client.shutdown(socket.SHUT_WR)
+
+
+LEAVES = [reset, close, half_close, half_close_behind_more]
+
+
+def blocking(sidecar: Sidecar, request_id: str = "early", deadline_ms: int = 2500) -> socket.socket:
+    """A client of whose end the kernel knows in the same step of the loop in which it leaves."""
+    client = socket.create_connection(("127.0.0.1", sidecar.port))
+    client.sendall(asks(request_id, deadline_ms))
+    return client
+
+
+def asks(request_id: str, deadline_ms: int) -> bytes:
+    lines = ["GET /look/a HTTP/1.1", "Host: service.internal", f"Req-Id: {request_id}", "Req-Owner: acme"]
+    return "\r\n".join([*lines, f"Req-Deadline-Ms: {deadline_ms}", "", ""]).encode()
+
+
+def nobody_listed(sidecar: Sidecar) -> None:
+    """From here on calls are held, and the connections that rest are closed."""
+    sidecar.host.on_list(ListForm.FULL, [])
+
+
+def all_listed(sidecar: Sidecar) -> None:
+    rows = [row(f"s-{i}", fake.address) for i, fake in enumerate(sidecar.endpoints)]
+    document = {"generation": 2, "reset": True, "instances": rows}
+    sidecar.host.on_list(ListForm.FULL, read_listing(document).entries)
+
+
+async def warm(sidecar: Sidecar, each: int) -> None:
+    """Have connections rest at every endpoint: an attempt is then written in the very step that begins it."""
+    upstream = sidecar.host.upstream
+    for i, fake in enumerate(sidecar.endpoints):
+        host, _, port = fake.address.rpartition(":")
+        # As a list would place it that tells of no start.
+        upstream.place(f"s-{i}", host, int(port), 0)
+        for _ in range(each):
+            connection = Connection(upstream.pools[f"s-{i}"], upstream.budget)
+            upstream.open += 1
+            await upstream.dial(connection, host, int(port))
+            upstream.pools[f"s-{i}"].rest(connection)
+
+
+async def held(sidecar: Sidecar, count: int) -> None:
+    while sidecar.host.balancer.queue.count < count:
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("warmed", [0, 1])
+@pytest.mark.parametrize("leave", LEAVES)
+def test_client_that_leaves_as_its_held_call_is_sent(
+    leave: Callable[[socket.socket], None], warmed: int
+) -> None:
+    """Not even a connection is opened for it where none rests."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            nobody_listed(sidecar)
+            client, other = blocking(sidecar), await sidecar.client()
+            await held(sidecar, 1)
+            await warm(sidecar, warmed)
+            while sidecar.endpoints[0].connections < warmed:
+                await asyncio.sleep(0.01)
+            leave(client)
+            all_listed(sidecar)
+            await noticed(sidecar)
+            assert sidecar.host.upstream.tally["opened"] == 0
+            await only_this_arrives(sidecar, other)
+            assert sidecar.host.tally["gone"] == 1
+            assert not sidecar.host.requests
+            client.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize("leave", LEAVES)
+def test_client_that_leaves_while_the_loop_is_busy(
+    leave: Callable[[socket.socket], None],
+) -> None:
+    """The loop is late: it works through all that is due before it reads the end."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            nobody_listed(sidecar)
+            client, other = blocking(sidecar), await sidecar.client()
+            await held(sidecar, 1)
+            await warm(sidecar, 1)
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.02, leave, client)
+            loop.call_later(0.03, all_listed, sidecar)
+            time.sleep(0.1)  # the load: both are due by now, and the loop reads nothing between the two
+            await noticed(sidecar)
+            await only_this_arrives(sidecar, other)
+            assert not sidecar.host.requests
+            client.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize("leave", LEAVES)
+def test_client_that_leaves_as_its_connection_to_an_endpoint_comes_up(
+    leave: Callable[[socket.socket], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with Sidecar(Allowed={**SETUP["Allowed"], "ConnectTimeoutUs": 9_000_000}) as sidecar:
+            dial = sidecar.host.upstream.dial
+            client, other = blocking(sidecar), await sidecar.client()
+
+            async def late(*where: object) -> None:
+                await dial(*where)  # type: ignore[arg-type]
+                monkeypatch.undo()
+                leave(client)  # nothing comes between this and the attempt
+
+            monkeypatch.setattr(sidecar.host.upstream, "dial", late)
+            while not sidecar.host.upstream.tally["opened"]:
+                await asyncio.sleep(0.01)
+            await noticed(sidecar)
+            await only_this_arrives(sidecar, other)
+            assert sidecar.host.tally["moot"] == 1
+            assert not sidecar.host.requests
+            client.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize("leave", LEAVES)
+def test_client_that_leaves_as_a_declined_attempt_is_read(leave: Callable[[socket.socket], None]) -> None:
+    """The endpoint's answer is read first, and the further attempt goes out in the same step."""
+
+    async def test() -> None:
+        async with Sidecar(endpoints=2) as sidecar:
+            await warm(sidecar, 1)
+            client, other = blocking(sidecar), await sidecar.client()
+            asked = await first_asked(sidecar)
+            asked.reply(503, b"", "Srv-Declined: 1")
+            leave(client)
+            await noticed(sidecar)
+            await only_this_arrives(sidecar, other)
+            assert not sidecar.host.requests
+            client.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize("leave", LEAVES)
+def test_client_that_leaves_unread_as_its_next_request_is_due(leave: Callable[[socket.socket], None]) -> None:
+    """So many wait behind the first that nothing more is read from it."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client, other = blocking(sidecar, "first", 3_000_000), await sidecar.client()
+            for n in range(server.MAX_WAITING):
+                client.sendall(asks(f"behind-{n}", 3_000_000))
+            asked = await sidecar.endpoints[0].next()
+            while not any(caller.paused for caller in sidecar.server.callers):
+                await asyncio.sleep(0.01)
+            asked.reply()
+            leave(client)
+            await noticed(sidecar)
+            await only_this_arrives(sidecar, other)
+            assert not sidecar.host.requests
+            client.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize("leave", LEAVES)
+def test_clients_that_leave_among_many(leave: Callable[[socket.socket], None]) -> None:
+    """Every second of a hundred leaves in the step in which all their calls may be sent."""
+
+    async def test() -> None:
+        async with Sidecar(endpoints=4) as sidecar:
+            nobody_listed(sidecar)
+            clients = [blocking(sidecar, f"{'goes' if n % 2 else 'stays'}-{n}") for n in range(100)]
+            await held(sidecar, 100)
+            await warm(sidecar, 50)
+            for client in clients[1::2]:
+                leave(client)
+            all_listed(sidecar)
+            arrived: list[str] = []
+
+            async def serve(number: int) -> None:
+                while True:
+                    asked = await sidecar.endpoints[number].next()
+                    arrived.append(asked.message.headers["req-id"])
+                    asked.reply()
+
+            serving = [asyncio.create_task(serve(number)) for number in range(4)]
+            await noticed(sidecar)
+            for client in clients[::2]:
+                client.setblocking(False)
+                reader, _ = await asyncio.open_connection(sock=client)
+                assert (await read_message(reader)).status == 200
+            for task in serving:
+                task.cancel()
+            assert sorted(arrived) == sorted(f"stays-{n}" for n in range(0, 100, 2))
+            assert sidecar.host.tally["gone"] == 50
+            assert not sidecar.host.requests
+
+    run(test())
--- a/tests/test_other_settings.py
+++ b/tests/test_other_settings.py
@@ -13,6 +13,9 @@
 class Nobody:
     def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None: ...
 
+    def departed(self) -> bool:
+        return False
+
 
 def test_a_short_deadline_leaves_time_for_an_answer() -> None:
     """A margin of 40 ms ended a request of 40 ms before it was sent anywhere."""
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -41,6 +41,9 @@
     def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         self.all.put_nowait(status)
 
+    def departed(self) -> bool:
+        return False
+
 
 def direct(caller: Answers, grade: str = "pay") -> Request:
     """A request as the server hands it over; its head only has to end where the deadline's value follows."""
