Put replaced settings in force while a sidecar runs, and carry over what was learned

Cause: SIGHUP took only discovery's address from a replaced file; a changed class, tenant, share, quota, limit, rule, price, zone count or bound needed a restart, which loses caps, histograms, budgets and health.

Change: a new event `reconfigure(now_us, settings)` of the module. Construction and reconfiguration share `_configure`, which works out classes, levels, worth, gain, try times and placements; placements, try times, buckets, caps, endpoints, retry budget, idle-connection knowledge and ejections of what stays are kept. A call holds its class and its placement from its arrival, so it ends under them when these are gone; held calls are lined up anew by the new worths, those of a class that is gone in the lowest level. A changed aim changes what shares of aims mean: the ratio starts over and the uncrowded medians rise with it, else halved aims look like a jam. The host refuses another name, listen address or layer before anything has changed; bounds, idle time, connect timeout and discovery's form follow, and a live watch stays open. Past a lowered bound idle connections close, callers in use leave with their next answer, and nothing busy is aborted. The figures line and a line for each reload tell a digest of the settings, since when, and how many changes. Figures that are infinite, no number or longer than 64 bits are refused as the settings are read: they would fail only once in force.

Time to come into force: not measured yet.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -200,14 +200,24 @@
             return self.refill * BURST_US / 1e6 + BURST_RU
 
     def __init__(self, settings: Settings, phase_us: int, now: int) -> None:
-        self.buckets = {
-            t.name: self.Bucket(t.share or 1.0, t.quota_per_s / settings.balancers or FLOOR_PER_S)
-            for t in settings.tenants
-        }
+        self.buckets: dict[str, TokenBuckets.Bucket] = {}
         self.next_refill = now + phase_us
         self.served = 0.0  # RU in this window
         self.served_per_s = 0.0  # smoothed
         self.mean_cost = BASE_COST_RU
+        self.configure(settings, now)
+
+    def configure(self, settings: Settings, now: int) -> None:
+        """Take the tenants that are stated; those known keep what they have, as far as it fits."""
+        known = self.buckets
+        self.buckets = {"": known[""]} if "" in known else {}  # "": of calls that name no tenant
+        for t in settings.tenants:
+            share, quota = t.share or 1.0, t.quota_per_s / settings.balancers or FLOOR_PER_S
+            bucket = self.buckets[t.name] = known.get(t.name) or self.Bucket(share, quota)
+            bucket.share, bucket.quota = share, quota
+        self._set_rates(now)
+        for bucket in self.buckets.values():
+            bucket.tokens = min(bucket.tokens, bucket.depth())
 
     def find(self, tenant: str) -> Bucket:
         bucket = self.buckets.get(tenant)
@@ -233,12 +243,16 @@
             rate = self.served * 1e6 / REFILL_WINDOW_US
             self.served_per_s += SERVED_SMOOTHING * (rate - self.served_per_s)
             self.served = 0.0
+        self._set_rates(now)
+        for b in self.buckets.values():
+            b.tokens = min(b.depth(), b.tokens + b.refill * windows * REFILL_WINDOW_US / 1e6)
+
+    def _set_rates(self, now: int) -> None:
         active = sum(b.share for b in self.buckets.values() if now - b.heard < ACTIVE_US)
         for b in self.buckets.values():
             split = self.served_per_s * b.share / active if active else 0.0
             # A quota is stated in requests: at its present cost, or calls that slow down would shrink it.
             b.refill = max(b.quota * self.mean_cost, split) * (1 + HEADROOM)
-            b.tokens = min(b.depth(), b.tokens + b.refill * windows * REFILL_WINDOW_US / 1e6)
 
 
 class Histogram:
@@ -372,6 +386,11 @@
         self.sure = SURE_STARTS * START_CALLS * fair
         self.cap = max(self.cap or START_CALLS * fair, self.floor)
 
+    def follow(self, now: int, rise: float) -> None:
+        """Aims are others. The base rises as the latencies may: too high, it is put right by one round."""
+        self.median, self.base = 0.0, self.base * rise
+        self.round, self.bound, self.changed = Histogram(), 0, now  # what is out tells shares of old aims
+
     def room(self, scarcity: float) -> float:
         """The calls that may be out at one moment, while the cap bounds their mean.
 
@@ -457,13 +476,13 @@
     """
 
     def __init__(self, closed_us: int) -> None:
-        self.closed_us = closed_us or 1 << 62
+        self.closed_us = closed_us  # 0: not told
         # Silent shares, and attempts, by idle time; the last place is for fresh connections.
         self.shares = [0.0] * (IDLE_STEPS + 1)
         self.counts = [0] * (IDLE_STEPS + 1)
 
     def step(self, idle_us: int) -> int:
-        if idle_us >= self.closed_us:
+        if 0 < self.closed_us <= idle_us:
             return IDLE_STEPS
         return min((idle_us // IDLE_FROM_US).bit_length(), IDLE_STEPS - 1)
 
@@ -562,14 +581,15 @@
 
     __slots__ = (
         "answered", "arrived", "attempts", "bucket", "due", "first_run", "grade", "held_until", "id", "level",
-        "margin", "outstanding", "paid", "price",
+        "margin", "outstanding", "over", "paid", "placement", "price",
     )  # fmt: skip
 
     def __init__(
-        self, call: str, grade: RequestClass, now: int, due: int, bucket: TokenBuckets.Bucket
+        self, id: str, grade: RequestClass, place: Placement, now: int, due: int, bucket: TokenBuckets.Bucket
     ) -> None:
-        self.id = call
-        self.grade = grade
+        self.id = id
+        self.grade = grade  # this and the next stay, whatever replaces the settings
+        self.placement = place
         self.arrived = now
         self.due = due  # until when an answer is worth something: the end of the try, or the aim before it
         self.margin = min(ANSWER_MARGIN_US, max(0, int(MARGIN_SHARE * (due - now))))
@@ -579,6 +599,7 @@
         self.answered = False
         self.held_until = 0  # 0: not held
         self.level = 0
+        self.over = False  # whether its tenant was over its share
         self.price = 0.0
         self.paid = 0.0
         self.bucket = bucket
@@ -594,6 +615,13 @@
         self.count = 0
         self.long_since = -1
 
+    def rank(self, levels: int) -> None:
+        """Line up the held calls by the levels that they have now, the longest held first."""
+        held = sorted((c for queue in self.levels for c in queue if c.held_until), key=lambda c: c.arrived)
+        self.levels = [deque() for _ in range(levels)]
+        for call in held:
+            self.levels[call.level].append(call)
+
     def push(self, call: Call, until: int) -> None:
         call.held_until = until
         self.levels[call.level].append(call)
@@ -675,9 +703,18 @@
     """The decisions of one sidecar instance."""
 
     def __init__(self, settings: Settings, seed: int, actions: Actions) -> None:
-        self.settings = settings
         self.actions = actions
         self.random = random.Random(seed)
+        self.calls: dict[str, Call] = {}
+        self.tries: dict[str, TryTime] = {}
+        self.placement: dict[str, Placement] = {}
+        self.started = False
+        self._configure(settings)
+
+    def _configure(self, settings: Settings) -> None:
+        """Work out what follows from settings, the first and any later ones: what remains is carried over."""
+        known = {(p.zones, p.kinds): p for p in self.placements}
+        self.settings = settings
         self.classes = {c.name: c for c in settings.classes}
         best = max(c.credit for c in settings.classes) or 1.0
         worths = {
@@ -698,7 +735,16 @@
             for minus, over in ranked
         ]
         self.copying = settings.limits.second_copies and settings.layer == 0
-        self.started = False
+        self.tries = {c.name: self.tries.get(c.name) or TryTime() for c in settings.classes}
+        self.placement = {
+            c.name: known.setdefault((c.stays_in, c.served_on), Placement(c, settings.layer))
+            for c in settings.classes
+        }
+
+    @property
+    def placements(self) -> list[Placement]:
+        """Those of the classes, and those that only calls from before a change of the settings still have."""
+        return list(dict.fromkeys([*self.placement.values(), *(c.placement for c in self.calls.values())]))
 
     # --- life ---
 
@@ -706,7 +752,6 @@
         s = self.settings
         self.started = True
         self.endpoints: dict[str, EndpointState] = {}
-        self.calls: dict[str, Call] = {}
         self.buckets = TokenBuckets(s, self.random.randrange(REFILL_WINDOW_US), now_us)
         self.ratio = LatencyRatio(now_us)
         self.services = ServiceTimes(s.layer, now_us)
@@ -714,12 +759,6 @@
         self.retries = RetryBudget()
         self.refused: Counter[str] = Counter()  # since the last report, by reason
         self.idle = IdleConnections(s.limits.conn_idle_us)
-        self.tries = {c.name: TryTime() for c in s.classes}
-        placements: dict[tuple[frozenset[str] | None, frozenset[str] | None], Placement] = {}
-        self.placement = {
-            c.name: placements.setdefault((c.stays_in, c.served_on), Placement(c, s.layer)) for c in s.classes
-        }
-        self.placements = list(placements.values())
         self.ejected: list[EndpointState] = []
         self.ready = 0
         self.fleet_failing = 0.0
@@ -733,6 +772,33 @@
         if s.discovery is Discovery.ASK:
             self.actions.tail(True)
 
+    def reconfigure(self, now_us: int, settings: Settings) -> None:
+        """Put other settings in force. Calls that are here keep their class and the endpoints it may use."""
+        old = self.settings
+        if settings.layer != old.layer:
+            raise ValueError("Layer: it can't change while the process runs")
+        classes = self.classes
+        self._configure(settings)
+        if not self.started:
+            return
+        changes = [classes[n].aim_us / c.aim_us for n, c in self.classes.items() if n in classes]
+        if any(change != 1.0 for change in changes):
+            # Danger: with aims halved, what was always normal looks like a jam, and caps fall for that.
+            self.ratio, self.services = LatencyRatio(now_us), ServiceTimes(settings.layer, now_us)
+            for limit in (pool.limit for placement in self.placements for pool in placement.pools):
+                limit.follow(now_us, max(1.0, *changes))
+        self.buckets.configure(settings, now_us)
+        self.idle.closed_us = settings.limits.conn_idle_us
+        for call in self.calls.values():
+            call.level = self.level.get((call.grade.name, call.over), len(self.worth) - 1)
+        self.queue.rank(len(self.worth))
+        if self.endpoints:
+            self._fill_pools()
+        if settings.discovery is Discovery.ASK is not old.discovery and not self.asking:
+            self.actions.tail(True)
+        if self.queue.count:
+            self._dispatch(now_us)
+
     def discovery(self, now_us: int, form: ListForm, entries: Sequence[Endpoint]) -> None:
         if form is ListForm.FAILED:
             if self.settings.discovery is Discovery.ASK and not self.asking:
@@ -789,19 +855,18 @@
 
         Danger: classes free to go anywhere crowd the few endpoints of a bound class while others have room.
         """
-        for placement in self.placements:
+        placements = self.placements
+        for placement in placements:
             for pool in placement.pools:
                 pool.turn()
-        if len(self.placements) < 2:
-            return
-        level = sum(p.sent for p in self.placements) / max(1, *(p.size for p in self.placements))
-        for wide in self.placements:
+        level = sum(p.sent for p in placements) / max(1, *(p.size for p in placements))
+        for wide in placements:
             wide.spare = {}
-            for narrow in self.placements:
+            for narrow in placements:
                 if level and 0 < narrow.size < wide.size:
                     left = max(LEAST_SPARE, 1.0 - narrow.sent / narrow.size / level)
                     wide.spare.update((e.id, left) for e in self.endpoints.values() if narrow.allows(e))
-        for p in self.placements:
+        for p in placements:
             p.sent *= SENT_DECAY
 
     def wake(self, now_us: int, mark: str) -> None:
@@ -852,14 +917,15 @@
             buckets.refill(now_us)
             self._share_out()
         bucket = buckets.find(tenant or "")
-        new = self.calls[call] = Call(call, self.classes[grade], now_us, now_us + expires_in_us, bucket)
+        due = now_us + expires_in_us
+        new = self.calls[call] = Call(call, self.classes[grade], self.placement[grade], now_us, due, bucket)
         bucket.heard = now_us
         stress = self.ratio.stress()
         worth = self.worth[self.level[grade, False]]
         price = BASE_COST_RU + HINT_RU_PER_US * (hint_us or 0)
         new.price = price
         inflated = price * (1 + PENALTY * stress * (1 - worth))
-        over = bucket.tokens < inflated
+        over = new.over = bucket.tokens < inflated
         new.level = self.level[grade, over]
         age = self.tries[grade].age(expires_in_us, new.grade.deadline_us) if not self.settings.layer else 0
         if expires_in_us <= 0:
@@ -867,7 +933,7 @@
             return
         if not new.grade.late_share:
             # Guards against repeats that can no longer be worth anything.
-            usual = self.placement[grade].local.limit.median * HOPELESS
+            usual = new.placement.local.limit.median * HOPELESS
             new.due = min(new.due, now_us + new.grade.aim_us - age)
             if new.due - now_us <= new.grade.aim_us * usual:
                 self._refuse(new, "hopeless")
@@ -926,7 +992,7 @@
 
         Acts only while nothing is scarce: no stress, nobody held, room under the cap, retries left.
         """
-        if call.answered or len(call.attempts) != 1 or not call.outstanding:
+        if not self.copying or call.answered or len(call.attempts) != 1 or not call.outstanding:
             return
         if self.ratio.stress() > 0 or self.queue.count or self.retries.tokens < 1.0:
             return
@@ -973,9 +1039,8 @@
     def _try_send(self, now: int, call: Call) -> bool:
         worth = self.worth[call.level]
         barren = True  # whether this zone has no endpoint that could take the call, however long it waits
-        placement = self.placement[call.grade.name]
         share = 1.0 if worth >= LOW_WORTH else LOW_TIER_SHARE
-        for pool in placement.pools:
+        for pool in call.placement.pools:
             if not pool.subset.members:
                 continue
             limit = pool.limit
@@ -983,7 +1048,7 @@
             if limit.full(now, share * limit.room(self.scarcity), self.random):
                 barren = False
                 continue
-            if pool is placement.remote and not barren and not self._worth_crossing(now, call):
+            if pool is call.placement.remote and not barren and not self._worth_crossing(now, call):
                 return False
             endpoint = self._pick(now, pool, call)
             if endpoint is not None:
@@ -1006,7 +1071,7 @@
         best: EndpointState | None = None
         best_load = 0.0
         tried = call.attempts
-        spare = self.placement[call.grade.name].spare
+        spare = call.placement.spare
         drawn = 0
         for _ in range(2 * REDRAWS):
             e = members[int(self.random.random() * n)]
@@ -1098,7 +1163,7 @@
         call.outstanding.add(len(call.attempts))
         if not call.attempts:
             self.retries.earn()
-            self.placement[call.grade.name].sent += call.price
+            call.placement.sent += call.price
             usual = pool.limit.median * call.grade.aim_us
             # Only the outermost layer copies: copies inside multiply, and only it sees all stress.
             if usual and self.copying and call.grade.effect is Effect.IDEMPOTENT:
@@ -1251,7 +1316,7 @@
         legal = legal and len(call.attempts) < tries and now < call.due - call.margin
         # What was turned away unseen made no work: the budget is for retries of what may have.
         if legal and (outcome in NEVER_RAN or self.retries.spend()):
-            for pool in self.placement[call.grade.name].pools:
+            for pool in call.placement.pools:
                 if pool.subset.members and (endpoint := self._pick(now, pool, call)) is not None:
                     self._send(now, call, endpoint, pool)
                     return
--- a/eiderhub/interface.py
+++ b/eiderhub/interface.py
@@ -9,9 +9,9 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 from enum import Enum, IntEnum
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
 
 
 class Effect(Enum):
@@ -96,11 +96,21 @@
     return LoadReport(pending, served, service_ms * 1000)
 
 
+LARGEST = 1 << 64  # any figure of 64 bits passes; larger ones would end in errors once they are in force
+
+
 def _require(ok: bool, key: str, why: str) -> None:
     if not ok:
         raise ValueError(f"{key}: {why}")
 
 
+def _require_bounded(values: Any) -> None:
+    for one in fields(values):
+        value = getattr(values, one.name)
+        if isinstance(value, int | float):
+            _require(abs(value) <= LARGEST, one.name, "too large, or no number")
+
+
 @dataclass(frozen=True, slots=True)
 class RequestClass:
     name: str
@@ -116,6 +126,7 @@
     served_on: frozenset[str] | None = None  # the only kinds of machine
 
     def __post_init__(self) -> None:
+        _require_bounded(self)
         _require(bool(self.name), "name", "must not be empty")
         _require(self.aim_us > 0, "aim_us", "must be above 0")
         _require(self.deadline_us > 0, "deadline_us", "must be above 0")
@@ -131,6 +142,7 @@
     quota_per_s: float = 0.0
 
     def __post_init__(self) -> None:
+        _require_bounded(self)
         _require(bool(self.name), "name", "must not be empty")
         _require(self.share >= 0, "share", "must not be negative")
         _require(self.quota_per_s >= 0, "quota_per_s", "must not be negative")
@@ -149,6 +161,7 @@
     connect_timeout_us: int = 250_000  # a connection not up by then has failed
 
     def __post_init__(self) -> None:
+        _require_bounded(self)
         _require(self.conn_idle_us >= 0, "conn_idle_us", "must not be negative")
         _require(self.connect_timeout_us > 0, "connect_timeout_us", "must be above 0")
         _require(self.max_attempts >= 1, "max_attempts", "must be at least 1")
@@ -161,6 +174,9 @@
 
     cross_zone: float = 0.0
 
+    def __post_init__(self) -> None:
+        _require_bounded(self)
+
 
 @dataclass(frozen=True, slots=True)
 class Goal:
@@ -170,6 +186,7 @@
     by_class: float = 0.0  # the weakest class, and parts that each class has alike
 
     def __post_init__(self) -> None:
+        _require_bounded(self)
         _require(self.by_worth >= 0, "by_worth", "must not be negative")
         _require(self.by_class >= 0, "by_class", "must not be negative")
 
@@ -185,6 +202,7 @@
     ask_every_us: int = 10_000_000  # what nobody asked for counts as told so long after it came about
 
     def __post_init__(self) -> None:
+        _require_bounded(self)
         _require(self.cold_us >= 0, "cold_us", "must not be negative")
         _require(self.drain_grace_us >= 0, "drain_grace_us", "must not be negative")
         _require(self.ask_every_us >= 0, "ask_every_us", "must not be negative")
@@ -194,7 +212,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """All that an instance is told at its start."""
+    """All that an instance is told at its start, and again whenever it is replaced."""
 
     classes: Sequence[RequestClass]
     rank: int = 0
@@ -211,6 +229,7 @@
     rules: Rules = field(default_factory=Rules)
 
     def __post_init__(self) -> None:
+        _require_bounded(self)
         _require(len(self.classes) > 0, "classes", "at least one is needed")
         names = [c.name for c in self.classes]
         _require(len(set(names)) == len(names), "classes", "names must differ")
@@ -257,6 +276,9 @@
     def start(self, now_us: int) -> None:
         """Comes first, once."""
 
+    def reconfigure(self, now_us: int, settings: Settings) -> None:
+        """Other settings are in force; those that can't change meanwhile raise ValueError, and none do."""
+
     def discovery(self, now_us: int, form: ListForm, entries: Sequence[Endpoint]) -> None:
         """News of the endpoints."""
 
--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -98,12 +98,25 @@
         await asyncio.sleep(0.01)
 
 
-def reload(host: Host) -> None:
+def reload(server: Server) -> None:
     """Read the configuration again; a bad one is logged and changes nothing."""
+    before = server.host.config
     try:
-        host.reload(load(os.environ))
+        server.reload(load(os.environ))
     except Exception as error:  # whatever is wrong with a file, it must not end a process that serves
         log.error("the configuration is not taken: %s", error)
+        return
+    config = server.host.config
+    news = "unchanged" if config.digest == before.digest else "in force"
+    bounds = config.bounds
+    log.info(
+        "the configuration is taken, settings %s: %s; bounds: callers %d, connections %d, bytes held %d",
+        news,
+        server.host.version(),
+        bounds.callers,
+        bounds.endpoints,
+        bounds.held,
+    )
 
 
 async def serve(config: Config) -> None:
@@ -112,8 +125,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     host = Host(config)
-    loop.add_signal_handler(signal.SIGHUP, reload, host)
     server = Server(host, config.bounds.callers)
+    loop.add_signal_handler(signal.SIGHUP, reload, server)
     await server.bind(config.listen.host, config.listen.port)
     host.start()
     chores = (host.upstream.sweep(), server.watch_callers(), watch_lag(), report(host, server))
--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -1,7 +1,8 @@
-"""What a sidecar is told at its start: the environment and the JSON file that it names."""
+"""What a sidecar is told at its start and with each reload: the environment and the JSON file it names."""
 
 from __future__ import annotations
 
+import hashlib
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -35,6 +36,7 @@
     bounds: Bounds
     known: Listing
     settings: Settings
+    digest: str = "-"  # of the settings as the file states them: tells on-call staff which ones are in force
 
 
 def parse_address(text: object, key: str) -> Address:
@@ -63,6 +65,12 @@
     return document
 
 
+def _digest(settings: object) -> str:
+    """A short one, alike for all files that state the same in another order or layout."""
+    text = json.dumps(settings, sort_keys=True, separators=(",", ":"))
+    return hashlib.sha256(text.encode()).hexdigest()[:8]
+
+
 def _limit(document: dict[str, Any], key: str, default: int) -> float:
     limits = document.get("limits")
     value = limits.get(key, default) if isinstance(limits, dict) else default
@@ -99,4 +107,5 @@
         ),
         known=known,
         settings=settings,
+        digest=_digest(document["settings"]),
     )
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -98,10 +98,7 @@
         self.host = host
         self.port = port
         self.generation = generation
-        self.persist = persist  # lists are pushed: nobody asks again, so the watch itself goes on
-        # Where lists are pushed, news counts as told the moment that discovery is back, so nobody there is no
-        # reason to wait for long; a refusal is, for then it has too many callers.
-        self.prompt_s = min(BACKOFF_S[1], grace_us / 4e6) if persist else BACKOFF_S[1]
+        self.configure(persist, grace_us)
         self.deliver = deliver
         self.moved = False  # the address is new and has told nothing yet
         self.wait_ms = WAIT_MS[0]
@@ -109,6 +106,13 @@
         self._connection: Connection | None = None
         self._answer: asyncio.Future[Response] | None = None
 
+    def configure(self, persist: bool, grace_us: int) -> None:
+        """How a failure is met from now on; a watch that is open stays open."""
+        self.persist = persist  # lists are pushed: nobody asks again, so the watch itself goes on
+        # Where lists are pushed, news counts as told the moment that discovery is back, so nobody there is no
+        # reason to wait for long; a refusal is, for then it has too many callers.
+        self.prompt_s = min(BACKOFF_S[1], grace_us / 4e6) if persist else BACKOFF_S[1]
+
     def turn(self, on: bool) -> None:
         if on and self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._run())
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import time
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
@@ -17,7 +18,7 @@
 from eiderhub.interface import Discovery, ListForm, Outcome, Readiness
 from eiderhub.sidecar.bounds import Budget
 from eiderhub.sidecar.clock import Alarm, now_us
-from eiderhub.sidecar.config import Config
+from eiderhub.sidecar.config import Config, ConfigError
 from eiderhub.sidecar.discovery import Listed, Watcher
 from eiderhub.sidecar.upstream import Attempt, Response, Upstream, load_of
 
@@ -32,6 +33,18 @@
     def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None: ...
 
 
+def _require_same(old: Config, new: Config) -> None:
+    """What callers and the platform know a process by stays as it is until the process ends."""
+    fixed = (
+        ("name", old.name, new.name),
+        ("listen", f"{old.listen.host}:{old.listen.port}", f"{new.listen.host}:{new.listen.port}"),
+        ("settings: Layer", old.settings.layer, new.settings.layer),
+    )
+    for key, was, told in fixed:
+        if told != was:
+            raise ConfigError(f"{key}: {was} can't become {told} while the process runs")
+
+
 class Request:
     """One request that was taken, and its attempts."""
 
@@ -74,6 +87,9 @@
     def __init__(self, config: Config) -> None:
         settings = config.settings
         self.settings = settings
+        self.config = config  # the one in force
+        self.changes = 0  # of the settings, since the start
+        self.changed_s = time.time()  # when they came into force
         self.requests: dict[str, Request] = {}
         self.serial = 0
         self.tally: Counter[str] = Counter()  # since the last report: answers by status, attempts by outcome
@@ -95,23 +111,50 @@
             self.on_list,
         )
         self.balancer = Balancer(settings, config.seed, self)
-        self.known = config.known
 
     def start(self) -> None:
         """Start the module on the list that was known last, which is in use until discovery answers."""
         self.balancer.start(now_us())
-        self.on_list(ListForm.CACHED, self.known.entries)
+        self.on_list(ListForm.CACHED, self.config.known.entries)
         if self.settings.discovery is Discovery.PUSH:
             self.watcher.turn(True)
 
     def reload(self, config: Config) -> None:
-        """Take from a new configuration what may change while the process runs: where discovery is."""
-        self.watcher.move(config.discovery.host, config.discovery.port)
+        """Put another configuration in force, or raise ConfigError and change nothing."""
+        _require_same(self.config, config)
+        settings, bounds = config.settings, config.bounds
+        if settings != self.settings:
+            self.balancer.reconfigure(now_us(), settings)  # first: where it refuses, nothing has changed
+            self.settings = settings
+        self.budget.most = bounds.held
+        self.upstream.configure(
+            settings.limits.conn_idle_us, settings.limits.connect_timeout_us, bounds.endpoints
+        )
+        self._follow_discovery(config)
+        if config.digest != self.config.digest:
+            self.changes += 1
+            self.changed_s = time.time()
+        self.config = config
+
+    def _follow_discovery(self, config: Config) -> None:
+        """A live watch stays where it is: all sidecars may be told at once, and each new one costs a list."""
+        pushed = config.settings.discovery is Discovery.PUSH
+        self.watcher.configure(pushed, config.settings.rules.drain_grace_us)
+        address = config.discovery
+        if (address.host, address.port) != (self.watcher.host, self.watcher.port):
+            self.watcher.move(address.host, address.port)
+        elif pushed and self.balancer.started:
+            self.watcher.turn(True)  # nobody else does, where it was given up between two questions
+
+    def version(self) -> str:
+        """Which settings are in force, since when, and after how many changes."""
+        since = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(self.changed_s))
+        return f"settings {self.config.digest} since {since}, change {self.changes}"
 
     def report(self) -> str:
         """What happened since the last report, and the state, in one line for those on call."""
         up = self.upstream
-        lines = [f"open requests {len(self.requests)}, connections {up.open} of {up.most}"]
+        lines = [self.version(), f"open requests {len(self.requests)}, connections {up.open} of {up.most}"]
         for tally in (self.tally, up.tally):
             lines.append(", ".join(f"{name} {count}" for name, count in sorted(tally.items())) or "-")
             tally.clear()
--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -11,8 +11,9 @@
 
 import httptools
 
-from eiderhub.interface import Effect, RequestClass
+from eiderhub.interface import Effect, RequestClass, Settings
 from eiderhub.sidecar.clock import now_us
+from eiderhub.sidecar.config import Config
 from eiderhub.sidecar.host import Host, Request
 from eiderhub.sidecar.upstream import HOP_BY_HOP
 
@@ -254,7 +255,7 @@
         if not self.waiting and not self.receiving:
             self._let_go()
         # Rule 1: what waits behind this request was taken too, so it is answered even while we drain.
-        keep = self.keep and (bool(self.waiting) or not self.server.leaving)
+        keep = self.keep and (bool(self.waiting) or not (self.server.leaving or self.server.crowded()))
         lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status]), b"Content-Length: %d" % len(body)]
         lines += [b"%s: %s" % header for header in headers if header[0].lower() not in HOP_BY_HOP]
         if not keep:
@@ -338,19 +339,34 @@
 
     def __init__(self, host: Host, most: int) -> None:
         self.host = host
-        self.most = most  # connections that callers may have open
         self.budget = host.budget
         self.callers: dict[CallerConnection, None] = {}
         self.fresh: dict[CallerConnection, None] = {}  # those that never made a valid request, oldest first
         self.idle: dict[CallerConnection, None] = {}  # those between requests, the longest idle first
         self.open_ids: set[bytes] = set()
-        self.longest_s = max(c.deadline_us for c in host.settings.classes) / 1e6
-        self.classes = {c.name.encode(): c for c in host.settings.classes}
-        self.tenants = {t.name for t in host.settings.tenants}
+        self.configure(host.settings, most)
         self.draining = False  # no more callers are wanted
         self.leaving = False  # nor those that are here
         self.closed = False
 
+    def configure(self, settings: Settings, most: int) -> None:
+        """Take what requests are read by; past a lowered bound, callers that can be spared are closed."""
+        self.most = most  # connections that callers may have open
+        self.longest_s = max(c.deadline_us for c in settings.classes) / 1e6
+        self.classes = {c.name.encode(): c for c in settings.classes}
+        self.tenants = {t.name for t in settings.tenants}
+        while len(self.callers) > most and (caller := self._spare()) is not None:
+            self._close(caller)
+
+    def reload(self, config: Config) -> None:
+        """Put another configuration in force, between two requests; ConfigError: nothing has changed."""
+        self.host.reload(config)
+        self.configure(config.settings, config.bounds.callers)
+
+    def crowded(self) -> bool:
+        """Whether callers stand past a bound that was lowered: those in use leave with their next answer."""
+        return len(self.callers) > self.most and sum(not c.ended for c in self.callers) > self.most
+
     async def bind(self, host: str, port: int) -> None:
         """Take the address; connections wait until the module has started."""
         loop = asyncio.get_running_loop()
@@ -365,16 +381,19 @@
         its first request; where all are at work, the new one, of which nothing has been read. One whose
         request has come and only waits to be read is at work too.
         """
-        if len(self.callers) >= self.most:
+        while len(self.callers) >= self.most:
             victim = self._spare() or caller
-            self.left(victim)
-            victim.ended = True
-            victim.transport.abort()
+            self._close(victim)
             if victim is caller:
                 return
         self.callers[caller] = None
         self.fresh[caller] = None
 
+    def _close(self, caller: CallerConnection) -> None:
+        self.left(caller)
+        caller.ended = True
+        caller.transport.abort()
+
     def _spare(self) -> CallerConnection | None:
         spare_us = now_us() - int(SPARE_S * 1e6)
         silent = (caller for caller in self.fresh if not caller.receiving)
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -300,7 +300,7 @@
             attempt.end(Outcome.RESET if connection.written else Outcome.CONNECT_FAILED)
 
     def rest(self, connection: Connection) -> None:
-        if self.ready:
+        if self.ready and self.upstream.open <= self.upstream.most:  # the bound may have been lowered
             connection.idle_since = now_us()
             self.idle.append(connection)
         else:
@@ -331,15 +331,21 @@
     """All pools, and the bound on their connections together."""
 
     def __init__(self, idle_us: int, connect_timeout_us: int, most: int, budget: Budget) -> None:
-        self.keep_us = int(IDLE_SHARE * (idle_us or IDLE_US))
-        self.connect_timeout_s = connect_timeout_us / 1e6
-        self.most = most
         self.open = 0  # connections that are up or coming up
         self.tally: Counter[str] = Counter()  # since the last report: what became of attempts and connections
         self.budget = budget
         self.pools: dict[str, Pool] = {}  # of the endpoints that are ready, and no others
         self.active: dict[Connection, None] = {}  # with an attempt out on them
         self._connecting: set[asyncio.Task[None]] = set()
+        self.configure(idle_us, connect_timeout_us, most)
+
+    def configure(self, idle_us: int, connect_timeout_us: int, most: int) -> None:
+        """Past a lowered bound idle connections close now, and those in use once they are free."""
+        self.keep_us = int(IDLE_SHARE * (idle_us or IDLE_US))
+        self.connect_timeout_s = connect_timeout_us / 1e6
+        self.most = most
+        while self.open > most and self._make_room():
+            pass
 
     async def sweep(self) -> None:
         """Close idle connections well before their endpoints do: one that crosses a request resets it.
