--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from eiderhub.interface import Endpoint, ListForm, Readiness
+from eiderhub.interface import Discovery, Endpoint, ListForm, Readiness, Settings
 from eiderhub.sidecar.bounds import Budget
 from eiderhub.sidecar.clock import UNIX_OFFSET_US, now_us
 from eiderhub.sidecar.upstream import Connection, Response
@@ -86,13 +86,15 @@
         raise ValueError(f"no list of endpoints ({type(error).__name__}: {error})") from None
 
 
-def connect_limit_s(grace_us: int, pushed: bool) -> float:
+def connect_limit_s(settings: Settings) -> float:
     """How long a connection to discovery may take to come up, in seconds.
 
     Where lists are pushed, news counts as told the moment that discovery is back: one that hangs since before
     has to make room for the next in good time.
     """
-    return min(CONNECT_S, max(grace_us / 4e6, AGAIN_CONNECT_S)) if pushed else CONNECT_S
+    if settings.discovery is not Discovery.PUSH:
+        return CONNECT_S
+    return min(CONNECT_S, max(settings.rules.drain_grace_us / 4e6, AGAIN_CONNECT_S))
 
 
 class Watcher:
