Ask for pushed lists at once where the settings' form of discovery changes

Cause: with one schedule for both forms, a question that was due under the old form was waited for, up to 3.5 s, though pushed lists count as told at once. Change: another form asks at once, in either direction; a watch that is open stays. The model's test of the question that stands now asks for exactly this. Measured: tests only.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -839,8 +839,9 @@
         self.queue.rank(len(self.worth))
         if self.endpoints:
             self._fill_pools()
-        if settings.discovery is Discovery.ASK is not old.discovery and not self.asking:
-            self.actions.tail(True)  # nobody watches for the module any more
+        if settings.discovery is not old.discovery:  # what counts as told is another thing by now
+            self.asking, self.renewal.began = False, now_us
+            self.actions.tail(True)
         if self.queue.count:
             self._dispatch(now_us)
 
