Log how long a start took, from the process to the first 200 of /up

Cause: nine in ten restarted processes have to be ready within 10 s, and no log told how long a start took.

Change: one line, `ready after 0.31 s`, counted from the process's start as the kernel has it, so that the interpreter and the imports are in it. Under a clock that is not the kernel's the figure says nothing.

--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -8,6 +8,8 @@
 import os
 import signal
 import sys
+import time
+from pathlib import Path
 
 import uvloop
 
@@ -25,6 +27,7 @@
 LAG_LOG_S = 10.0
 LAG_WORTH_US = 50_000  # a lag that eats a good part of the margin for answers
 REPORT_EVERY_S = 2.0
+READY_EVERY_S = 0.02
 LINES_PER_S = 20
 log = logging.getLogger("eiderhub.sidecar")
 
@@ -65,6 +68,19 @@
         log.info("figures: callers %d of %d, %s", len(callers.callers), callers.most, host.report())
 
 
+def age_s() -> float:
+    """How long ago this process was made: the interpreter and the imports are a part of every start."""
+    fields = Path("/proc/self/stat").read_text(encoding="utf-8").rpartition(")")[2].split()
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - int(fields[19]) / os.sysconf("SC_CLK_TCK")
+
+
+async def tell_ready(host: Host) -> None:
+    """Log once how long the start took, from when on `/up` answers 200."""
+    while not host.ready:
+        await asyncio.sleep(READY_EVERY_S)
+    log.info("ready after %.2f s", age_s())
+
+
 async def drain(server: Server, host: Host) -> None:
     """Answer all that was taken, in time for SIGKILL, while new callers are sent elsewhere.
 
@@ -134,6 +150,7 @@
         settings.balancers,
         settings.zone or "-",
     )
+    background.append(loop.create_task(tell_ready(host)))
     await stop.wait()
     await drain(server, host)
     for task in background:
