Prove that a switch to pushed lists asks at once without naming the module's waits

Change: the timer is taken away altogether, so that only the switch can bring the next question: as strict.

--- a/tests/test_live_settings.py
+++ b/tests/test_live_settings.py
@@ -269,10 +269,12 @@
     run(test())
 
 
-def test_lists_that_are_pushed_from_now_on_are_watched_without_waiting_for_the_next_question() -> None:
+def test_lists_that_are_pushed_from_now_on_are_watched_without_waiting_for_the_next_question(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     async def test() -> None:
         async with Sidecar() as sidecar:
-            sidecar.host.balancer.ask_wait = 60_000_000
+            monkeypatch.setattr(sidecar.host, "timer", lambda delay_us, mark: None)  # it never falls due
             (await sidecar.discovery.next()).reply(503, b"")
             while not sidecar.host.balancer.asking:
                 await asyncio.sleep(0.001)
