--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -255,5 +255,5 @@
     happening: Happening, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The traffic is such that it could: what keeps the sum within the budget is the module."""
-    monkeypatch.setattr(Balancer, "_warmth", lambda *_: 1.0)
+    monkeypatch.setattr(Balancer, "warmth", lambda *_: 1.0)
     assert worst(happening, 1.2, COPIES, 0) > 1.0
