Wait for the first list by an event where the log tells the time to ready

Cause: the log's chore looked 50 times a second until a list had come, for as long as none came. Change: the host holds an event in place of the flag. Measured: tests only.

--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -27,7 +27,6 @@
 LAG_LOG_S = 10.0
 LAG_WORTH_US = 50_000  # a lag that eats a good part of the margin for answers
 REPORT_EVERY_S = 2.0
-READY_EVERY_S = 0.02
 LINES_PER_S = 20
 log = logging.getLogger("eiderhub.sidecar")
 
@@ -76,8 +75,7 @@
 
 async def tell_ready(host: Host) -> None:
     """Log once how long the start took, from when on `/up` answers 200."""
-    while not host.ready:
-        await asyncio.sleep(READY_EVERY_S)
+    await host.listed.wait()
     log.info("ready after %.2f s", age_s())
 
 
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -99,7 +99,7 @@
         self.serial = 0
         self.tally: Counter[str] = Counter()  # since the last report: answers by status, attempts by outcome
         self.ending = False  # nothing new is begun
-        self.listed = False  # whether any list has named endpoints
+        self.listed = asyncio.Event()  # a list has named endpoints
         self.budget = Budget(config.bounds.held)  # for requests and answers alike
         self.upstream = Upstream(
             settings.limits.conn_idle_us,
@@ -164,7 +164,7 @@
 
     @property
     def ready(self) -> bool:
-        return self.listed
+        return self.listed.is_set()
 
     def _tell(self, event: Callable[..., None], *values: Any) -> bool:
         """Tell the module; its failure must neither end the process nor lose what it holds."""
@@ -345,5 +345,6 @@
                 self.upstream.place(endpoint.id, host, port, endpoint.launched_us)
             else:
                 self.upstream.retire(endpoint.id)
-        self.listed = self.listed or bool(entries)
+        if entries:
+            self.listed.set()
         self._tell(self.balancer.discovery, form, [entry.endpoint for entry in entries])
