--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -146,7 +146,8 @@
 RETRY_AFTER_SHARE = 0.5  # a refused client is told to wait this share of what it obeys, or up to twice it
 ASK_FIRST_US = 750_000  # slowest first wait before discovery is asked again, doubled up to
 ASK_LONGEST_US = 3_500_000  # this, from the beginning of one call to that of the next
-ASK_MOVED_US = 1_000_000  # the same while a new address has told nothing: that counts after 4 s
+ASK_CROWDED_US = 5_500_000  # the same after a refusal: it tells that more is asked than can be answered
+ASK_MOVED_US = 1_000_000  # after others while a new address has told nothing: that counts after 4 s, not 6
 ASK_LEAST_US = 100_000  # pause after a call that took as long as that or longer
 ASK_AT_ONCE = 2  # times that what was lost is asked for at once: 1 s later it counts as told
 ASK_REFUSED_US = 220_000  # but so long at least after a refusal
@@ -155,7 +156,6 @@
 FAILURES = frozenset((ListForm.FAILED, ListForm.REFUSED, ListForm.LOST))
 UNANSWERED = frozenset((Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED))
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))
-REPORTED = 3  # endpoints of each pool, the busiest, that the state names one by one
 SWEEP, ASK = "sweep", "ask"
 
 
@@ -205,14 +205,24 @@
             return self.refill * BURST_US / 1e6 + BURST_RU
 
     def __init__(self, settings: Settings, phase_us: int, now: int) -> None:
-        self.buckets = {
-            t.name: self.Bucket(t.share or 1.0, t.quota_per_s / settings.balancers or FLOOR_PER_S)
-            for t in settings.tenants
-        }
+        self.buckets: dict[str, TokenBuckets.Bucket] = {}
         self.next_refill = now + phase_us
         self.served = 0.0  # RU in this window
         self.served_per_s = 0.0  # smoothed
         self.mean_cost = BASE_COST_RU
+        self.configure(settings, now)
+
+    def configure(self, settings: Settings, now: int) -> None:
+        """Take the tenants that are stated; those known keep what they have, as far as it fits."""
+        known = self.buckets
+        self.buckets = {"": known[""]} if "" in known else {}  # "": of calls that name no tenant
+        for t in settings.tenants:
+            share, quota = t.share or 1.0, t.quota_per_s / settings.balancers or FLOOR_PER_S
+            bucket = self.buckets[t.name] = known.get(t.name) or self.Bucket(share, quota)
+            bucket.share, bucket.quota = share, quota
+        self._set_rates(now)
+        for bucket in self.buckets.values():
+            bucket.tokens = min(bucket.tokens, bucket.depth())
 
     def find(self, tenant: str) -> Bucket:
         bucket = self.buckets.get(tenant)
@@ -238,12 +248,16 @@
             rate = self.served * 1e6 / REFILL_WINDOW_US
             self.served_per_s += SERVED_SMOOTHING * (rate - self.served_per_s)
             self.served = 0.0
+        self._set_rates(now)
+        for b in self.buckets.values():
+            b.tokens = min(b.depth(), b.tokens + b.refill * windows * REFILL_WINDOW_US / 1e6)
+
+    def _set_rates(self, now: int) -> None:
         active = sum(b.share for b in self.buckets.values() if now - b.heard < ACTIVE_US)
         for b in self.buckets.values():
             split = self.served_per_s * b.share / active if active else 0.0
             # A quota is stated in requests: at its present cost, or calls that slow down would shrink it.
             b.refill = max(b.quota * self.mean_cost, split) * (1 + HEADROOM)
-            b.tokens = min(b.depth(), b.tokens + b.refill * windows * REFILL_WINDOW_US / 1e6)
 
 
 class Histogram:
@@ -377,6 +391,11 @@
         self.sure = SURE_STARTS * START_CALLS * fair
         self.cap = max(self.cap or START_CALLS * fair, self.floor)
 
+    def follow(self, now: int, rise: float) -> None:
+        """Aims are others. The base rises as the latencies may: too high, it is put right by one round."""
+        self.median, self.base = 0.0, self.base * rise
+        self.round, self.bound, self.changed = Histogram(), 0, now  # what is out tells shares of old aims
+
     def room(self, scarcity: float) -> float:
         """The calls that may be out at one moment, while the cap bounds their mean.
 
@@ -462,13 +481,13 @@
     """
 
     def __init__(self, closed_us: int) -> None:
-        self.closed_us = closed_us or 1 << 62
+        self.closed_us = closed_us  # 0: not told
         # Silent shares, and attempts, by idle time; the last place is for fresh connections.
         self.shares = [0.0] * (IDLE_STEPS + 1)
         self.counts = [0] * (IDLE_STEPS + 1)
 
     def step(self, idle_us: int) -> int:
-        if idle_us >= self.closed_us:
+        if 0 < self.closed_us <= idle_us:
             return IDLE_STEPS
         return min((idle_us // IDLE_FROM_US).bit_length(), IDLE_STEPS - 1)
 
@@ -497,13 +516,18 @@
     """
 
     def __init__(self, settings: Settings, now: int) -> None:
+        self.configure(settings)
+        self.began = now  # when the last call began
+        self.told()
+
+    def configure(self, settings: Settings) -> None:
         rules = settings.rules
         # After a failed call what changes counts as told in four times this: before that it is asked.
-        self.longest = self.refused = min(ASK_LONGEST_US, max(ASK_FIRST_US, 3 * rules.ask_every_us))
+        bound = max(ASK_FIRST_US, 3 * rules.ask_every_us)
         if settings.discovery is Discovery.PUSH:  # what it has at its return counts as told at once
-            self.longest, self.refused = min(ASK_LONGEST_US, 3 * rules.drain_grace_us // 8), ASK_LONGEST_US
-        self.began = now  # when the last call began
-        self.told()
+            bound = 3 * rules.drain_grace_us // 8
+        self.longest = min(ASK_LONGEST_US, bound)
+        self.crowded = ASK_CROWDED_US if settings.discovery is Discovery.PUSH else min(ASK_CROWDED_US, bound)
 
     def told(self) -> None:
         self.slowest = ASK_FIRST_US
@@ -515,12 +539,16 @@
         if (form is ListForm.LOST or self.at_once) and self.at_once < ASK_AT_ONCE:
             self.at_once += 1
             return int(ASK_REFUSED_US * (1 + 0.4 * chance)) if form is ListForm.REFUSED else 0
-        longest = ASK_MOVED_US if self.moved else ASK_LONGEST_US
-        slowest = min(self.slowest, longest, self.refused if form is ListForm.REFUSED else self.longest)
+        part, slowest = 0.5, min(self.slowest, self.longest, ASK_MOVED_US if self.moved else self.longest)
+        if form is ListForm.REFUSED:
+            # Danger: hundreds that come back soon to a discovery which lets calls wait before it refuses them
+            # all wait too long, and it answers nobody, however long it has been back.
+            part, slowest = 0.75, min(self.crowded, ASK_CROWDED_US if self.retrying else ASK_LONGEST_US)
+            slowest = min(slowest, self.slowest, ASK_CROWDED_US // 2) if self.moved else slowest
+        drawn = part + (1 - part) * chance
         self.slowest = min(2 * self.slowest, ASK_LONGEST_US)
         spent = now - self.began if self.retrying or self.at_once else 0
         self.retrying, self.at_once = True, 0
-        drawn = 0.5 + 0.5 * chance
         return max(int(slowest * drawn) - spent, int(ASK_LEAST_US * drawn))
 
 
@@ -604,14 +632,15 @@
 
     __slots__ = (
         "answered", "arrived", "attempts", "bucket", "due", "first_run", "grade", "held_until", "id", "level",
-        "margin", "outstanding", "paid", "price",
+        "margin", "outstanding", "over", "paid", "placement", "price",
     )  # fmt: skip
 
     def __init__(
-        self, call: str, grade: RequestClass, now: int, due: int, bucket: TokenBuckets.Bucket
+        self, id: str, grade: RequestClass, place: Placement, now: int, due: int, bucket: TokenBuckets.Bucket
     ) -> None:
-        self.id = call
-        self.grade = grade
+        self.id = id
+        self.grade = grade  # this and the next stay, whatever replaces the settings
+        self.placement = place
         self.arrived = now
         self.due = due  # until when an answer is worth something: the end of the try, or the aim before it
         self.margin = min(ANSWER_MARGIN_US, max(0, int(MARGIN_SHARE * (due - now))))
@@ -621,6 +650,7 @@
         self.answered = False
         self.held_until = 0  # 0: not held
         self.level = 0
+        self.over = False  # whether its tenant was over its share
         self.price = 0.0
         self.paid = 0.0
         self.bucket = bucket
@@ -636,6 +666,13 @@
         self.count = 0
         self.long_since = -1
 
+    def rank(self, levels: int) -> None:
+        """Line up the held calls by the levels that they have now, the longest held first."""
+        held = sorted((c for queue in self.levels for c in queue if c.held_until), key=lambda c: c.arrived)
+        self.levels = [deque() for _ in range(levels)]
+        for call in held:
+            self.levels[call.level].append(call)
+
     def push(self, call: Call, until: int) -> None:
         call.held_until = until
         self.levels[call.level].append(call)
@@ -717,9 +754,18 @@
     """The decisions of one sidecar instance."""
 
     def __init__(self, settings: Settings, seed: int, actions: Actions) -> None:
-        self.settings = settings
         self.actions = actions
         self.random = random.Random(seed)
+        self.calls: dict[str, Call] = {}
+        self.tries: dict[str, TryTime] = {}
+        self.placement: dict[str, Placement] = {}
+        self.started = False
+        self._configure(settings)
+
+    def _configure(self, settings: Settings) -> None:
+        """Work out what follows from settings, the first and any later ones: what remains is carried over."""
+        known = {(p.zones, p.kinds): p for p in self.placements}
+        self.settings = settings
         self.classes = {c.name: c for c in settings.classes}
         best = max(c.credit for c in settings.classes) or 1.0
         worths = {
@@ -740,7 +786,16 @@
             for minus, over in ranked
         ]
         self.copying = settings.limits.second_copies and settings.layer == 0
-        self.started = False
+        self.tries = {c.name: self.tries.get(c.name) or TryTime() for c in settings.classes}
+        self.placement = {
+            c.name: known.setdefault((c.stays_in, c.served_on), Placement(c, settings.layer))
+            for c in settings.classes
+        }
+
+    @property
+    def placements(self) -> list[Placement]:
+        """Those of the classes, and those that only calls from before a change of the settings still have."""
+        return list(dict.fromkeys([*self.placement.values(), *(c.placement for c in self.calls.values())]))
 
     # --- life ---
 
@@ -748,7 +803,6 @@
         s = self.settings
         self.started = True
         self.endpoints: dict[str, EndpointState] = {}
-        self.calls: dict[str, Call] = {}
         self.buckets = TokenBuckets(s, self.random.randrange(REFILL_WINDOW_US), now_us)
         self.ratio = LatencyRatio(now_us)
         self.services = ServiceTimes(s.layer, now_us)
@@ -756,12 +810,6 @@
         self.retries = RetryBudget()
         self.refused: Counter[str] = Counter()  # since the last report, by reason
         self.idle = IdleConnections(s.limits.conn_idle_us)
-        self.tries = {c.name: TryTime() for c in s.classes}
-        placements: dict[tuple[frozenset[str] | None, frozenset[str] | None], Placement] = {}
-        self.placement = {
-            c.name: placements.setdefault((c.stays_in, c.served_on), Placement(c, s.layer)) for c in s.classes
-        }
-        self.placements = list(placements.values())
         self.ejected: list[EndpointState] = []
         self.ready = 0
         self.fleet_failing = 0.0
@@ -775,6 +823,35 @@
         if s.discovery is Discovery.ASK:
             self.actions.tail(True)
 
+    def reconfigure(self, now_us: int, settings: Settings) -> None:
+        """Put other settings in force. Calls that are here keep their class and the endpoints it may use."""
+        old = self.settings
+        if settings.layer != old.layer:
+            raise ValueError("Layer: it can't change while the process runs")
+        classes = self.classes
+        self._configure(settings)
+        if not self.started:
+            return
+        changes = [classes[n].aim_us / c.aim_us for n, c in self.classes.items() if n in classes]
+        if any(change != 1.0 for change in changes):
+            # Danger: with aims halved, what was always normal looks like a jam, and caps fall for that.
+            self.ratio, self.services = LatencyRatio(now_us), ServiceTimes(settings.layer, now_us)
+            for limit in (pool.limit for placement in self.placements for pool in placement.pools):
+                limit.follow(now_us, max(1.0, *changes))
+        self.buckets.configure(settings, now_us)
+        self.renewal.configure(settings)
+        self.idle.closed_us = settings.limits.conn_idle_us
+        for call in self.calls.values():
+            call.level = self.level.get((call.grade.name, call.over), len(self.worth) - 1)
+        self.queue.rank(len(self.worth))
+        if self.endpoints:
+            self._fill_pools()
+        if settings.discovery is not old.discovery:  # what counts as told is another thing by now
+            self.asking, self.renewal.began = False, now_us
+            self.actions.tail(True)
+        if self.queue.count:
+            self._dispatch(now_us)
+
     def discovery(self, now_us: int, form: ListForm, entries: Sequence[Endpoint]) -> None:
         if form in FAILURES:
             if not self.asking:
@@ -833,19 +910,18 @@
 
         Danger: classes free to go anywhere crowd the few endpoints of a bound class while others have room.
         """
-        for placement in self.placements:
+        placements = self.placements
+        for placement in placements:
             for pool in placement.pools:
                 pool.turn()
-        if len(self.placements) < 2:
-            return
-        level = sum(p.sent for p in self.placements) / max(1, *(p.size for p in self.placements))
-        for wide in self.placements:
+        level = sum(p.sent for p in placements) / max(1, *(p.size for p in placements))
+        for wide in placements:
             wide.spare = {}
-            for narrow in self.placements:
+            for narrow in placements:
                 if level and 0 < narrow.size < wide.size:
                     left = max(LEAST_SPARE, 1.0 - narrow.sent / narrow.size / level)
                     wide.spare.update((e.id, left) for e in self.endpoints.values() if narrow.allows(e))
-        for p in self.placements:
+        for p in placements:
             p.sent *= SENT_DECAY
 
     def wake(self, now_us: int, mark: str) -> None:
@@ -857,32 +933,6 @@
             self.sweep_at = -1
             self._sweep(now_us)
 
-    def report(self, now_us: int) -> str:
-        """The state in one line, for the host's log; refusals are those since the last report."""
-        heads = map(self.queue.head, range(len(self.worth)))
-        worst = max((now_us - call.arrived for call in heads if call), default=0)
-        parts = [
-            f"ratio {self.ratio.value:.2f} scarcity {self.scarcity:.2f} held {self.queue.count}"
-            f" sojourn {worst // 1000} ms retries {self.retries.tokens:.1f}"
-        ]
-        for placement in self.placements:
-            for name, pool in zip(("near", "far"), placement.pools, strict=True):
-                limit = pool.limit
-                parts.append(
-                    f"{name} {limit.in_flight}/{limit.open * limit.cap:.1f} of {len(pool.subset.members)}"
-                    f" median {limit.median:.2f} base {limit.base:.2f}"
-                )
-                busiest = sorted(pool.subset.members, key=lambda e: (-e.in_flight, e.id))[:REPORTED]
-                parts += [
-                    f"{e.id} {e.in_flight} out slow {e.slow:.1f} crowd {e.crowd:.1f}"
-                    f" failing {e.failing:.2f} part {self._part(now_us, e, self._warmth(now_us, e)):.2f}"
-                    for e in busiest
-                ]
-        parts += [f"bucket {n} {b.tokens:.1f} +{b.refill:.1f}/s" for n, b in self.buckets.buckets.items()]
-        parts += [f"refused {why} {n}" for why, n in sorted(self.refused.items())]
-        self.refused.clear()
-        return "; ".join(parts)
-
     # --- requests ---
 
     def order(
@@ -897,14 +947,15 @@
             buckets.refill(now_us)
             self._share_out()
         bucket = buckets.find(tenant or "")
-        new = self.calls[call] = Call(call, self.classes[grade], now_us, now_us + expires_in_us, bucket)
+        due = now_us + expires_in_us
+        new = self.calls[call] = Call(call, self.classes[grade], self.placement[grade], now_us, due, bucket)
         bucket.heard = now_us
         stress = self.ratio.stress()
         worth = self.worth[self.level[grade, False]]
         price = BASE_COST_RU + HINT_RU_PER_US * (hint_us or 0)
         new.price = price
         inflated = price * (1 + PENALTY * stress * (1 - worth))
-        over = bucket.tokens < inflated
+        over = new.over = bucket.tokens < inflated
         new.level = self.level[grade, over]
         age = self.tries[grade].age(expires_in_us, new.grade.deadline_us) if not self.settings.layer else 0
         if expires_in_us <= 0:
@@ -912,7 +963,7 @@
             return
         if not new.grade.late_share:
             # Guards against repeats that can no longer be worth anything.
-            usual = self.placement[grade].local.limit.median * HOPELESS
+            usual = new.placement.local.limit.median * HOPELESS
             new.due = min(new.due, now_us + new.grade.aim_us - age)
             if new.due - now_us <= new.grade.aim_us * usual:
                 self._refuse(new, "hopeless")
@@ -971,7 +1022,7 @@
 
         Acts only while nothing is scarce: no stress, nobody held, room under the cap, retries left.
         """
-        if call.answered or len(call.attempts) != 1 or not call.outstanding:
+        if not self.copying or call.answered or len(call.attempts) != 1 or not call.outstanding:
             return
         if self.ratio.stress() > 0 or self.queue.count or self.retries.tokens < 1.0:
             return
@@ -1018,9 +1069,8 @@
     def _try_send(self, now: int, call: Call) -> bool:
         worth = self.worth[call.level]
         barren = True  # whether this zone has no endpoint that could take the call, however long it waits
-        placement = self.placement[call.grade.name]
         share = 1.0 if worth >= LOW_WORTH else LOW_TIER_SHARE
-        for pool in placement.pools:
+        for pool in call.placement.pools:
             if not pool.subset.members:
                 continue
             limit = pool.limit
@@ -1028,7 +1078,7 @@
             if limit.full(now, share * limit.room(self.scarcity), self.random):
                 barren = False
                 continue
-            if pool is placement.remote and not barren and not self._worth_crossing(now, call):
+            if pool is call.placement.remote and not barren and not self._worth_crossing(now, call):
                 return False
             endpoint = self._pick(now, pool, call)
             if endpoint is not None:
@@ -1051,14 +1101,14 @@
         best: EndpointState | None = None
         best_load = 0.0
         tried = call.attempts
-        spare = self.placement[call.grade.name].spare
+        spare = call.placement.spare
         drawn = 0
         for _ in range(2 * REDRAWS):
             e = members[int(self.random.random() * n)]
             if e is best or (tried and any(a[0] is e for a in tried)):
                 continue
-            warmth = self._warmth(now, e)
-            part = self._part(now, e, warmth) * spare.get(e.id, 1.0)
+            warmth = self.warmth(now, e)
+            part = self.part(now, e, warmth) * spare.get(e.id, 1.0)
             if part < 1.0 and self.random.random() >= part:
                 continue
             if warmth < 1.0 and not self._affords(now, e, pool, warmth):
@@ -1083,7 +1133,7 @@
                 break
         return best
 
-    def _part(self, now: int, e: EndpointState, warmth: float) -> float:
+    def part(self, now: int, e: EndpointState, warmth: float) -> float:
         """The part of a peer's calls that this endpoint may have: slow start, ejection and return, crowding.
 
         Rule 4: a draw that falls on a cold endpoint stands only with the probability of its least capacity,
@@ -1113,9 +1163,9 @@
         and whatever ejects. Could hurt where sound endpoints are ejected while others have room to spare.
         """
         members = pool.subset.members
-        return sum(self._part(now, e, self._warmth(now, e)) for e in members) / len(members)
+        return sum(self.part(now, e, self.warmth(now, e)) for e in members) / len(members)
 
-    def _warmth(self, now: int, e: EndpointState) -> float:
+    def warmth(self, now: int, e: EndpointState) -> float:
         """The least part of its capacity that the endpoint has, by its stated start."""
         rules = self.settings.rules
         age = now - e.launched
@@ -1143,7 +1193,7 @@
         call.outstanding.add(len(call.attempts))
         if not call.attempts:
             self.retries.earn()
-            self.placement[call.grade.name].sent += call.price
+            call.placement.sent += call.price
             usual = pool.limit.median * call.grade.aim_us
             # Only the outermost layer copies: copies inside multiply, and only it sees all stress.
             if usual and self.copying and call.grade.effect is Effect.IDEMPOTENT:
@@ -1296,7 +1346,7 @@
         legal = legal and len(call.attempts) < tries and now < call.due - call.margin
         # What was turned away unseen made no work: the budget is for retries of what may have.
         if legal and (outcome in NEVER_RAN or self.retries.spend()):
-            for pool in self.placement[call.grade.name].pools:
+            for pool in call.placement.pools:
                 if pool.subset.members and (endpoint := self._pick(now, pool, call)) is not None:
                     self._send(now, call, endpoint, pool)
                     return
--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -8,6 +8,8 @@
 import os
 import signal
 import sys
+import time
+from pathlib import Path
 
 import uvloop
 
@@ -65,6 +67,18 @@
         log.info("figures: callers %d of %d, %s", len(callers.callers), callers.most, host.report())
 
 
+def age_s() -> float:
+    """How long ago this process was made: the interpreter and the imports are a part of every start."""
+    fields = Path("/proc/self/stat").read_text(encoding="utf-8").rpartition(")")[2].split()
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - int(fields[19]) / os.sysconf("SC_CLK_TCK")
+
+
+async def tell_ready(host: Host) -> None:
+    """Log once how long the start took, from when on `/up` answers 200."""
+    await host.listed.wait()
+    log.info("ready after %.2f s", age_s())
+
+
 async def drain(server: Server, host: Host) -> None:
     """Answer all that was taken, in time for SIGKILL, while new callers are sent elsewhere.
 
@@ -98,12 +112,25 @@
         await asyncio.sleep(0.01)
 
 
-def reload(host: Host) -> None:
+def reload(server: Server) -> None:
     """Read the configuration again; a bad one is logged and changes nothing."""
+    before = server.host.config
     try:
-        host.reload(load(os.environ))
+        server.reload(load(os.environ))
     except Exception as error:  # whatever is wrong with a file, it must not end a process that serves
         log.error("the configuration is not taken: %s", error)
+        return
+    config = server.host.config
+    news = "unchanged" if config.digest == before.digest else "in force"
+    bounds = config.bounds
+    log.info(
+        "the configuration is taken, settings %s: %s; bounds: callers %d, connections %d, bytes held %d",
+        news,
+        server.host.version(),
+        bounds.callers,
+        bounds.endpoints,
+        bounds.held,
+    )
 
 
 async def serve(config: Config) -> None:
@@ -112,8 +139,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     host = Host(config)
-    loop.add_signal_handler(signal.SIGHUP, reload, host)
     server = Server(host, config.bounds.callers)
+    loop.add_signal_handler(signal.SIGHUP, reload, server)
     await server.bind(config.listen.host, config.listen.port)
     host.start()
     chores = (host.upstream.sweep(), server.watch_callers(), watch_lag(), report(host, server))
@@ -134,6 +161,7 @@
         settings.balancers,
         settings.zone or "-",
     )
+    background.append(loop.create_task(tell_ready(host)))
     await stop.wait()
     await drain(server, host)
     for task in background:
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from eiderhub.interface import Endpoint, ListForm, Readiness
+from eiderhub.interface import Discovery, Endpoint, ListForm, Readiness, Settings
 from eiderhub.sidecar.bounds import Budget
 from eiderhub.sidecar.clock import UNIX_OFFSET_US, now_us
 from eiderhub.sidecar.upstream import Connection, Response
@@ -18,7 +18,7 @@
 # A watch waits so long at first, and twice as long after each that was answered, up to the second: discovery
 # works through its calls in turn, so they should be few. The first may follow a failure: where it hangs, that
 # has to be found early enough to ask once more.
-WAIT_MS = (2_000, 30_000)
+WAIT_MS = (4_000, 30_000)
 PATIENCE_S = 2.0  # a call that does not wait may be late by so much: then it counts as told
 WATCH_PATIENCE_S = 1.0  # and a watch by so much: 1 s later what it did not tell counts as told
 STALL_S = 0.3  # an answer is written in one go: one that stops for so long never ends
@@ -86,13 +86,15 @@
         raise ValueError(f"no list of endpoints ({type(error).__name__}: {error})") from None
 
 
-def connect_limit_s(grace_us: int, pushed: bool) -> float:
+def connect_limit_s(settings: Settings) -> float:
     """How long a connection to discovery may take to come up, in seconds.
 
     Where lists are pushed, news counts as told the moment that discovery is back: one that hangs since before
     has to make room for the next in good time.
     """
-    return min(CONNECT_S, max(grace_us / 4e6, AGAIN_CONNECT_S)) if pushed else CONNECT_S
+    if settings.discovery is not Discovery.PUSH:
+        return CONNECT_S
+    return min(CONNECT_S, max(settings.rules.drain_grace_us / 4e6, AGAIN_CONNECT_S))
 
 
 class Watcher:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -12,13 +12,13 @@
     EJECT_US,
     GROW_CALLS_TOLD,
     QUIET_RISE,
-    REPORTED,
     SOJOURN_INTERVAL_US,
     START_CALLS,
     ConcurrencyLimit,
     Placement,
     TokenBuckets,
 )
+from eiderhub.figures import BUSIEST, state
 from eiderhub.interface import Goal, Limits, ListForm, LoadReport, Outcome, Prices, read_load
 from tests.support import MS, SAFE, UNSAFE, Host, S, endpoints, settings
 
@@ -551,16 +551,16 @@
     host = Host(settings(), endpoints(1))
     call = host.order(left=0)
     assert host.answers(call) == ["shed"]
-    assert "refused expired 1" in host.balancer.report(host.now)
-    assert "refused" not in host.balancer.report(host.now)
+    assert "refused expired 1" in state(host.balancer, host.now)
+    assert "refused" not in state(host.balancer, host.now)
 
 
 def test_the_report_names_the_busiest_endpoints_with_the_part_that_they_may_have() -> None:
     host = Host(settings(), endpoints(1) + endpoints(6, "west", start=1, launched=1_000_000_000 - 1 * S))
     host.order()
-    line = host.balancer.report(host.now)
+    line = state(host.balancer, host.now)
     assert "10.0.0.0:80 1 out slow 0.0 crowd 1.0 failing 0.00 part 1.00" in line
-    assert line.count("part 0.28") == REPORTED
+    assert line.count("part 0.28") == BUSIEST
 
 
 def test_classes_of_equal_worth_are_held_in_order_of_arrival() -> None:
