Add scenarios, hollow sidecars and the player of the emulator

Cause: how thousands of sidecars weigh on discovery and on a machine could not be measured before any is in service. Change: scenarios in TOML with one line of error, planned from a seed before anything runs; processes of hollow sidecars, the real host and discovery client without callers' sockets; a player that keeps each measurement as a line of JSON and says of a run with late loops that it counts for nothing. A partition of regions is not played yet.

--- a/fleet/__main__.py
+++ b/fleet/__main__.py
@@ -1,10 +1,12 @@
-"""The command line: `python -m fleet COMMAND`."""
+"""The command line: `python -m fleet run SCENARIO` and `python -m fleet slopes`."""
 
 from __future__ import annotations
 
 import importlib
 import importlib.util
 import sys
+from pathlib import Path
+from typing import Annotated
 
 import typer
 
@@ -16,6 +18,19 @@
     """The emulator of the platform round the sidecars."""
 
 
+@app.command()
+def run(
+    scenario: Annotated[Path, typer.Argument(help="a scenario in TOML, as in fleet/scenarios")],
+    size: Annotated[int, typer.Option(help="play only this number of hollow sidecars; 0: all stated")] = 0,
+    records: Annotated[Path, typer.Option(help="where the measurements are kept")] = Path("records"),
+) -> None:
+    """Play a scenario at each of its sizes; each measurement is one line of JSON in `records`."""
+    # Not at the top: the other commands need nothing of what this one loads.
+    from fleet.run import main
+
+    raise typer.Exit(main(scenario, size, records))
+
+
 def _add(name: str, module: str) -> None:
     """Add the command `name` where `module` is there; it is loaded only once that command is asked for."""
     if name in sys.argv[1:2] and importlib.util.find_spec(module) is not None:
--- /dev/null
+++ b/tests/test_fleet_scenario.py
@@ -0,0 +1,199 @@
+"""Scenarios: what is wrong with one is told in a line, and a seed makes each draw the same."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from fleet.scenario import (
+    ChangeList,
+    Down,
+    Kill,
+    ScenarioError,
+    Start,
+    Window,
+    parse,
+    plan,
+    read,
+    settings_document,
+    stream,
+)
+
+SCENARIOS = sorted((Path(__file__).parent.parent / "fleet" / "scenarios").glob("*.toml"))
+LEAST: dict[str, Any] = {"name": "x", "seed": 1, "sizes": [72], "seconds": 60}
+
+
+def with_events(*events: dict[str, Any], **changes: Any) -> dict[str, Any]:
+    return {**LEAST, "events": list(events), **changes}
+
+
+@pytest.mark.parametrize(
+    ("document", "said"),
+    [
+        ({}, "name: missing; legal are name, seed, sizes,"),
+        ({**LEAST, "sede": 2}, "sede: 2: no such key; legal are name, seed,"),
+        ({**LEAST, "seed": "one"}, "seed: 'one': must be int, got str"),
+        ({**LEAST, "real": 25}, "real: 25: must be int <= 24"),
+        ({**LEAST, "sizes": [36, 2001]}, "sizes[1]: 2001: must be int <= 2000"),
+        ({**LEAST, "sizes": []}, "sizes: []: must hold at least one"),
+        ({**LEAST, "name": "a b"}, "name: 'a b': must be str matching regex"),
+        ({**LEAST, "topology": {"depth": 28}}, "topology.depth: 28: must be int <= 27"),
+        ({**LEAST, "topology": {"dept": 3}}, "topology.dept: 3: no such key; legal are endpoints,"),
+        ({**LEAST, "topology": 3}, "topology: 3: must be object, got int"),
+        ({**LEAST, "topology": {"regions": 13}}, "topology.regions: 13: must be at most zones, 12"),
+        ({**LEAST, "discovery": {"mode": "pull"}}, "discovery.mode: 'pull': must be str matching regex"),
+        ({**LEAST, "events": 3}, "events: 3: must be a list of tables"),
+        (with_events({"kind": "outag"}), "events[0].kind: 'outag': must be one of measure, load,"),
+        (with_events({"at_s": 1}), "events[0].kind: None: must be one of"),
+        (
+            with_events({"kind": "settings", "at_s": 1}, {"kind": "outage", "at_s": 1}),
+            "events[1].seconds: missing; legal are at_s, seconds",
+        ),
+        (
+            with_events({"kind": "restart", "at_s": 1, "share": 1.5}),
+            "events[0].share: 1.5: must be float <= 1.0",
+        ),
+        (
+            with_events({"kind": "outage", "at_s": 50, "seconds": 14}),
+            "events[0]: ends at 64 s: must end by seconds, 60",
+        ),
+        (with_events({"kind": "zone_lost", "at_s": 1, "zone": 12}), "events[0].zone: 12: must be below 12"),
+        (
+            with_events({"kind": "zone_lost", "at_s": 1, "zone": 1, "noticed_after_s": 11}),
+            "events[0].noticed_after_s: 11: must be at most back_after_s, 10",
+        ),
+        (
+            with_events(
+                {"kind": "outage", "at_s": 1, "seconds": 9}, {"kind": "outage", "at_s": 8, "seconds": 9}
+            ),
+            "events[1].at_s: 8: must not overlap another outage",
+        ),
+    ],
+)
+def test_what_is_wrong_is_told_with_path_value_and_what_is_legal(document: dict[str, Any], said: str) -> None:
+    with pytest.raises(ScenarioError) as raised:
+        parse(document)
+    assert str(raised.value).startswith(said)
+    assert "\n" not in str(raised.value)
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ('name = "x"\nseed = -1\nsizes = [1]\nseconds = 1\n', "seed: -1: must be int >= 0"),
+        ("a = ", "no TOML"),
+    ],
+)
+def test_the_command_tells_it_in_one_line_and_exits_1(tmp_path: Path, text: str, said: str) -> None:
+    path = tmp_path / "bad.toml"
+    path.write_text(text, encoding="utf-8")
+    done = subprocess.run(
+        [sys.executable, "-m", "fleet", "run", str(path)], capture_output=True, text=True, timeout=60
+    )
+    assert done.returncode == 1
+    assert done.stderr.count("\n") == 1 and done.stderr.startswith(f"fleet: {path}: {said}")
+
+
+def test_a_file_that_is_not_there() -> None:
+    with pytest.raises(ScenarioError, match=r"nowhere\.toml: No such file"):
+        read(Path("nowhere.toml"))
+
+
+@pytest.mark.parametrize("path", SCENARIOS, ids=lambda path: path.stem)
+def test_the_kept_scenarios_can_be_played_at_each_size(path: Path) -> None:
+    scenario = read(path)
+    assert scenario.name == path.stem
+    for size in scenario.sizes:
+        made = plan(scenario, size)
+        assert len(made.sidecars) == size
+        assert len({row["instanceId"] for rows in made.services.values() for row in rows}) == size
+        times = [step.at_s for step in made.steps]
+        assert times == sorted(times) and (not times or times[-1] <= scenario.seconds)
+
+
+def test_a_seed_makes_each_draw_the_same() -> None:
+    events = (
+        {"kind": "change", "at_s": 1, "times": 5},
+        {"kind": "replace", "at_s": 8, "share": 0.2},
+        {"kind": "restart", "at_s": 30, "share": 0.5},
+    )
+    first, again = (msgspec.json.encode(plan(parse(with_events(*events)), 72)) for _ in range(2))
+    assert first == again
+    assert first != msgspec.json.encode(plan(parse(with_events(*events, seed=2)), 72))
+    assert stream(1, "a").random(3).tolist() == stream(1, "a").random(3).tolist()
+    assert stream(1, "a").random() != stream(1, "b").random()
+    assert stream(1, "a", 12).random() != stream(1, "a", 1, 2).random()
+
+
+def test_an_added_event_changes_no_draw_of_those_before_it() -> None:
+    restart = {"kind": "restart", "at_s": 30, "share": 0.5}
+    change = {"kind": "change", "at_s": 1}
+    alone, both = (plan(parse(with_events(*events)), 72) for events in ((restart,), (restart, change)))
+    assert [s for s in both.steps if isinstance(s, Kill)] == [s for s in alone.steps if isinstance(s, Kill)]
+
+
+def test_the_topology_spreads_sidecars_over_services_zones_regions_and_layers() -> None:
+    made = plan(parse({**LEAST, "topology": {"zones": 12, "regions": 5, "depth": 2}}), 100)
+    assert {name: len(rows) for name, rows in made.services.items()} == {
+        "svc-00": 36,
+        "svc-01": 36,
+        "svc-02": 28,
+    }
+    assert len({s.zone for s in made.sidecars}) == 12 and len({s.region for s in made.sidecars}) == 5
+    assert {s.layer for s in made.sidecars} == {0, 1}
+    single = plan(parse({**LEAST, "topology": {"single_list": True}}), 100)
+    assert [len(rows) for rows in single.services.values()] == [100]
+
+
+def test_a_lost_zone_leaves_the_lists_once_noticed_and_comes_back() -> None:
+    event = {"kind": "zone_lost", "at_s": 5, "zone": 3, "noticed_after_s": 2, "back_after_s": 14}
+    made = plan(parse(with_events(event)), 72)
+    inside = [i for i, s in enumerate(made.sidecars) if s.zone == "z3"]
+    kill, *_ = (s for s in made.steps if isinstance(s, Kill))
+    start, *_ = (s for s in made.steps if isinstance(s, Start))
+    assert (kill.at_s, start.at_s) == (5, 19) and kill.who == start.who == inside
+    lives = [
+        (s.at_s, {r["lifecycle"] for r in s.rows}, s.fresh) for s in made.steps if isinstance(s, ChangeList)
+    ]
+    assert lives == [(7, {"gone"}, False)] * 2 + [(19, {"ready"}, True)] * 2
+
+
+def test_an_outage_has_news_for_every_list_before_its_end() -> None:
+    made = plan(parse(with_events({"kind": "outage", "at_s": 8, "seconds": 14})), 72)
+    kinds = [(s.at_s, type(s)) for s in made.steps]
+    assert kinds == [(8, Down), (15, ChangeList), (15, ChangeList), (22, Down)]
+
+
+def test_a_replacement_drains_each_endpoint_before_it_leaves_and_lists_a_new_one() -> None:
+    made = plan(parse(with_events({"kind": "replace", "at_s": 1, "share": 0.1})), 36)
+    known = {row["instanceId"] for row in made.services["svc-00"]}
+    draining: set[str] = set()
+    for step in made.steps:
+        assert isinstance(step, ChangeList)
+        for row in step.rows:
+            if row["lifecycle"] == "draining":
+                draining.add(row["instanceId"])
+            elif row["lifecycle"] == "gone":
+                assert row["instanceId"] in draining
+            else:
+                assert step.fresh and row["instanceId"] not in known
+    assert len(draining) == 4
+
+
+def test_a_window_opens_and_closes() -> None:
+    made = plan(parse(with_events({"kind": "measure", "at_s": 2, "name": "idle", "seconds": 3})), 36)
+    assert made.steps == [Window(2, "idle", True), Window(5, "idle", False)]
+
+
+def test_a_revision_of_the_settings_changes_a_value() -> None:
+    sidecar = plan(parse(LEAST), 72).sidecars[40]
+    old, new = (settings_document(sidecar, 36, 27, "push", revision) for revision in (0, 1))
+    assert old["Categories"] != new["Categories"]
+    assert {key: value for key, value in old.items() if key != "Categories"} == {
+        key: value for key, value in new.items() if key != "Categories"
+    }
