--- a/fleet/microbench.py
+++ b/fleet/microbench.py
@@ -152,7 +152,7 @@
 
         def take() -> None:
             nonlocal place
-            place += 1
             self.host.on_list(form, lists[place % 2].entries)
+            place += 1
 
         return ListCost(_batches(rounds, size, parse), _batches(rounds, size, take), len(bodies[0]))
--- a/fleet/slopes.py
+++ b/fleet/slopes.py
@@ -34,7 +34,6 @@
 TARGET_RATE = 120.0  # calls a second of one sidecar
 DEPTH = 27  # calls one behind the other
 DRAWS = 20_000
-SETTLE_S = 1.0  # after the start, before processor time is counted
 WIDTH = 150  # of the table, also where it goes to a file
 app = typer.Typer(add_completion=False)
 
@@ -60,6 +59,7 @@
     runs: int = 3
     connections: Sequence[int] = (0, 100, 200, 400, 800)
     repeats: Sequence[float] = (0.0, 25.0, 50.0, 100.0, 200.0)  # watches answered a second
+    settle_s: float = 1.0  # after the start, before processor time is counted
 
 
 Measure = Callable[[Scale], AsyncIterator[Point]]
@@ -122,12 +122,14 @@
 
 
 @asynccontextmanager
-async def rig(count: int, module: str = "eiderhub.sidecar") -> AsyncIterator[tuple[Sidecar, dict[str, str]]]:
+async def rig(
+    count: int, settle_s: float, module: str = "eiderhub.sidecar"
+) -> AsyncIterator[tuple[Sidecar, dict[str, str]]]:
     """A sidecar on so many endpoints, with a watch that stays open; settled."""
     async with endpoints(count) as (_, names), Feeder() as feeder:
         sidecar = Sidecar(names, feeder.address, module)
         async with sidecar:
-            await asyncio.sleep(SETTLE_S)
+            await asyncio.sleep(settle_s)
             yield sidecar, names
 
 
@@ -274,7 +276,7 @@
 
 async def calls(scale: Scale) -> AsyncIterator[Point]:
     """Processor time by calls a second, 36 endpoints; and by the length of the list at 120 a second."""
-    async with rig(36) as (sidecar, names):
+    async with rig(36, scale.settle_s) as (sidecar, names):
         yield Point("cpu_by_rate", "calls_per_s", 0, await _idle(sidecar, scale.seconds), "cores")
         for rate in scale.rates:
             result, spent = await played(sidecar, names, rate, scale.seconds, int(rate))
@@ -284,7 +286,7 @@
 async def busy(scale: Scale) -> AsyncIterator[Point]:
     """Processor time a call at rates far above the target's: what the same work takes in warm caches."""
     half = msgspec.structs.replace(scale, seconds=scale.seconds / 2)
-    async with rig(36) as (sidecar, names):
+    async with rig(36, scale.settle_s) as (sidecar, names):
         for rate in (480.0, 960.0, 1500.0):
             result, spent = await played(sidecar, names, rate, half.seconds, int(rate))
             point = _call_points(result, spent, half, 36, rate)
@@ -295,7 +297,7 @@
 async def breakdown(scale: Scale) -> AsyncIterator[Point]:
     """Where the time of a call goes at 30, 120 and 960 calls a second: microseconds a call by step."""
     for rate in (30.0, TARGET_RATE, 960.0):
-        async with rig(36, "fleet.breakdown") as (sidecar, names):
+        async with rig(36, scale.settle_s, "fleet.breakdown") as (sidecar, names):
             before = await sidecar.breakdown()
             result, _ = await played(sidecar, names, rate, scale.seconds, int(rate))
             yield _steps(before, await sidecar.breakdown(), result, rate)
@@ -313,7 +315,7 @@
 async def sizes(scale: Scale) -> AsyncIterator[Point]:
     """Processor time a call and added latency by the length of the list, at 120 calls a second."""
     for size in scale.sizes:
-        async with rig(size) as (sidecar, names):
+        async with rig(size, scale.settle_s) as (sidecar, names):
             idle = await _idle(sidecar, min(4.0, scale.seconds))
             result, spent = await played(sidecar, names, TARGET_RATE, scale.seconds, size)
             point = _call_points(result, spent, scale, size, TARGET_RATE)
@@ -361,7 +363,7 @@
 async def latency(scale: Scale) -> AsyncIterator[Point]:
     """Added latency at 120 calls a second with 36 and 400 endpoints, some runs each."""
     for size in (36, 400):
-        async with rig(size) as (sidecar, names):
+        async with rig(size, scale.settle_s) as (sidecar, names):
             for run in range(scale.runs):
                 result, _ = await played(sidecar, names, TARGET_RATE, scale.seconds, 100 * size + run)
                 for point in added(result, size, run):
@@ -396,13 +398,13 @@
     return [body_of(2, False, [{**rows[0], "lifecycle": state}]) for state in ("draining", "ready")]
 
 
-async def _fed(form: str, size: int, rate: float, seconds: float) -> Point:
+async def _fed(form: str, size: int, rate: float, seconds: float, settle_s: float) -> Point:
     """A real sidecar's processor time while its watch is answered so many times a second."""
     names = {row["instanceId"]: row["hostPort"] for row in rows_of(size)}
     bodies = _bodies(form, size) if rate else []
     feeder = Feeder(bodies, 1 / rate if rate else 0.0)
     async with feeder, Sidecar(names, feeder.address) as sidecar:
-        await asyncio.sleep(SETTLE_S)
+        await asyncio.sleep(settle_s)
         answered, begun, before = feeder.answered, time.monotonic(), sidecar.runtime_s()
         await asyncio.sleep(seconds)
         spent, took = sidecar.runtime_s() - before, time.monotonic() - begun
@@ -413,15 +415,15 @@
 async def watch(scale: Scale) -> AsyncIterator[Point]:
     """A real sidecar's processor time by renewals of its watch a second, 36 endpoints."""
     for rate in scale.repeats:
-        yield await _fed("renewal", 36, rate, scale.seconds / 2)
+        yield await _fed("renewal", 36, rate, scale.seconds / 2, scale.settle_s)
 
 
 async def changes(scale: Scale) -> AsyncIterator[Point]:
     """A real sidecar's processor time for a renewal, a delta and a whole list, by the length of the list."""
     for size in scale.sizes:
-        idle = await _fed("renewal", size, 0.0, scale.seconds / 5)
+        idle = await _fed("renewal", size, 0.0, scale.seconds / 5, scale.settle_s)
         for form, rate in (("renewal", 50.0), ("delta", 50.0), ("whole", 10.0)):
-            busy = await _fed(form, size, rate, scale.seconds / 5)
+            busy = await _fed(form, size, rate, scale.seconds / 5, scale.settle_s)
             cost = (busy.y - idle.y) / busy.x * 1e6 if busy.x else 0.0
             detail = {"answers_per_s": busy.x, "idle_cores": idle.y}
             yield Point(f"change_{form}_cpu", "endpoints", size, cost, "us", busy.x > 0, detail)
