--- a/fleet/slopes.py
+++ b/fleet/slopes.py
@@ -323,6 +323,7 @@
             point.name, point.x_name, point.x = "call_cpu_by_endpoint", "endpoints", size
             point.y, point.unit = (spent - idle * scale.seconds) / max(1.0, served) * 1e6, "us"
             point.detail["idle_cores"] = idle
+            point.detail["rss_bytes"] = sidecar.usage().rss_bytes
             yield point
 
 
@@ -409,7 +410,8 @@
         await asyncio.sleep(seconds)
         spent, took = sidecar.runtime_s() - before, time.monotonic() - begun
         told = (feeder.answered - answered) / took
-    return Point(f"watch_{form}", "answers_per_s", told, spent / took, "cores", True, {"endpoints": size})
+        detail = {"endpoints": size, "rss_bytes": sidecar.usage().rss_bytes}
+    return Point(f"watch_{form}", "answers_per_s", told, spent / took, "cores", True, detail)
 
 
 async def watch(scale: Scale) -> AsyncIterator[Point]:
@@ -425,7 +427,7 @@
         for form, rate in (("renewal", 50.0), ("delta", 50.0), ("whole", 10.0)):
             busy = await _fed(form, size, rate, scale.seconds / 5, scale.settle_s)
             cost = (busy.y - idle.y) / busy.x * 1e6 if busy.x else 0.0
-            detail = {"answers_per_s": busy.x, "idle_cores": idle.y}
+            detail = {"answers_per_s": busy.x, "idle_cores": idle.y, **busy.detail}
             yield Point(f"change_{form}_cpu", "endpoints", size, cost, "us", busy.x > 0, detail)
 
 
