--- a/fleet/slopes.py
+++ b/fleet/slopes.py
@@ -484,6 +484,12 @@
     return points
 
 
+def processor_ticks() -> tuple[int, int, int]:
+    """Ticks of all cores since the start of the machine: in all, idle, and stolen by its host."""
+    fields = [int(text) for text in Path("/proc/stat").read_text().split("\n", 1)[0].split()[1:9]]
+    return sum(fields), fields[3] + fields[4], fields[7]
+
+
 class Record:
     """Appends points to a file of JSON lines; made with its first point."""
 
@@ -491,11 +497,21 @@
         stamp = time.strftime("%Y%m%dT%H%M%S", time.gmtime())
         self.path = folder / f"slopes-{name}-{stamp}.jsonl"
         self.about = {"measurement": name, "commit": commit(), "load1": os.getloadavg()[0]}
+        self.ticks = processor_ticks()
+
+    def machine(self) -> dict[str, float]:
+        """The cores in use, and stolen by the machine's host, on average since the last point."""
+        before, self.ticks = self.ticks, processor_ticks()
+        all_ticks, idle, stolen = (now - then for now, then in zip(self.ticks, before, strict=True))
+        cores = (os.cpu_count() or 1) / max(1, all_ticks)
+        return {"cores_used": (all_ticks - idle - stolen) * cores, "cores_stolen": stolen * cores}
 
     def keep(self, point: Point) -> None:
         self.path.parent.mkdir(parents=True, exist_ok=True)
         at = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime())
-        line = msgspec.json.encode({"at": at, **self.about, **msgspec.structs.asdict(point)})
+        line = msgspec.json.encode(
+            {"at": at, **self.about, **self.machine(), **msgspec.structs.asdict(point)}
+        )
         with self.path.open("ab") as sink:
             sink.write(line + b"\n")
 
