--- a/fleet/slopes.py
+++ b/fleet/slopes.py
@@ -117,8 +117,8 @@
                 writer.write(head + body)
                 self.answered += 1
                 self.bytes_out += len(head) + len(body)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            return
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            return  # cancelled where the loop ends while an answer waits for its gap
 
 
 @asynccontextmanager
