Let the comments on asking discovery say what holds after a refusal

Cause: the schedule's docstring still gave 3.5 s for every failure, and one constant had been broken over lines. Change: comments and layout alone, no behaviour.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -510,9 +510,9 @@
     """When discovery is asked again after a call that failed: the one place that decides this.
 
     Rule 3: a change counts as told 6 s after discovery had it and could be reached. At worst a call has begun
-    just before it could. Waits count from there, however long the call took to fail, so that the next begins
-    3.5 s after the return at the latest, with 2.5 s left to connect, to wait in turn and to be answered.
-    Danger: copies that ask sooner, or in step, keep a discovery that works through its calls in turn down.
+    just before it could. Waits count from there, however long the call took to fail: the next begins 3.5 s
+    after the return at the latest, with 2.5 s left to connect, wait in turn and be answered; after a refusal
+    5.5 s, for copies that ask sooner, or in step, keep a discovery down that works through its calls in turn.
     """
 
     def __init__(self, settings: Settings, now: int) -> None:
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -23,9 +23,7 @@
 WATCH_PATIENCE_S = 1.0  # and a watch by so much: 1 s later what it did not tell counts as told
 STALL_S = 0.3  # an answer is written in one go: one that stops for so long never ends
 CONNECT_S = 1.0
-AGAIN_CONNECT_S = (
-    0.4  # where an answer was lost 1 s is left to be told: one that hangs leaves time for the next
-)
+AGAIN_CONNECT_S = 0.4  # 1 s is left to be told what was lost: one that hangs leaves time for the next
 NEW_WATCH_S = 0.22  # a call that comes sooner after an answer carries its watch on
 log = logging.getLogger(__name__)
 
