Log and count what calls to discovery bring; guard sends whose drain counted as told

Cause: the log of the incident's sidecar told that calls were refused, but not by which address, after how long, for how long changes may have been missed, and whether anything was sent meanwhile that rule 3 forbids. The guard on drains (SENT_TO_RETIRED) goes by lists that came, so it said 'all held' through the breach.

Lines on lists name the address, the version, the time untold and the failures in a row; failures name how long the call took. The figures count calls by what they brought, with the longest time untold. A list that comes too late is checked against the last attempt written to each endpoint that it retires: SENT_UNTOLD, counted as possible, with the request, the attempt, the endpoint and the version. Where none is counted, none was possible.

No change of behaviour.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -22,6 +22,7 @@
 from eiderhub.policy.endpoints import DepartedEndpoints, EndpointState
 from eiderhub.policy.idle_connections import IDLE_STEPS, IdleConnections
 from eiderhub.policy.latency import LatencyRatio, ServiceTimes
+from eiderhub.policy.list_freshness import ListFreshness
 from eiderhub.policy.pools import Placement, Pool, subset_size
 from eiderhub.policy.retries import RetryBudget
 from eiderhub.policy.rules import NEVER_RAN, UNANSWERED, may_refuse, may_resend
@@ -159,6 +160,7 @@
         self.sweep_at = -1
         self.copies: deque[tuple[int, Call]] = deque()  # when a second copy of the call falls due
         self.renewal = Renewal(s, now_us)
+        self.freshness = ListFreshness(s, now_us)
         self.asking = False  # whether discovery is to be asked again
         if s.discovery is Discovery.ASK:
             self.actions.tail(True)
@@ -180,6 +182,7 @@
                 limit.follow(now_us, max(1.0, *changes))
         self.buckets.configure(settings, now_us)
         self.renewal.configure(settings)
+        self.freshness.configure(settings)
         self.idle.closed_us = settings.limits.conn_idle_us
         for call in self.calls.values():
             call.level = self.level.get((call.grade.name, call.over), len(self.worth) - 1)
@@ -196,11 +199,13 @@
         if form in FAILURES:
             if not self.asking:
                 self.asking = True
+                self.freshness.failed(now_us, form, now_us - self.renewal.began)
                 # Drawn: guards against all copies asking again in step after discovery has turned them away.
                 self.actions.timer(self.renewal.wait(now_us, form, self.random.random()), ASK)
             return
         if form is not ListForm.CACHED:
             self.renewal.told(now_us)
+            self.freshness.told(now_us)
         if form is not ListForm.DELTA:
             listed = {e.id for e in entries}
             for known in [e for e in self.endpoints.values() if e.id not in listed]:
@@ -258,6 +263,7 @@
         self.asking = False
         self.renewal.told(now_us)
         self.renewal.retrying = self.renewal.moved = True
+        self.freshness.moved(now_us)
 
     def _fill_pools(self) -> None:
         """Divide all endpoints anew: the constraints of the classes, or the sidecar's zone, are others."""
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -115,6 +115,7 @@
         self.moved = False  # the address is new and has told nothing yet
         self.lost = False  # the last answer was lost
         self.wait_ms = WAIT_MS[0]
+        self._asked_us = 0  # when the last call began
         self._task: asyncio.Task[None] | None = None
         self._connection: Connection | None = None
         self._answer: asyncio.Future[Response] | None = None
@@ -152,7 +153,9 @@
             self.deliver(ListForm.FULL if whole else ListForm.DELTA, listing.entries)
 
     async def _fail(self, error: Exception) -> None:
-        log.warning("discovery: %s: %s", type(error).__name__, error)
+        spent_ms = (now_us() - self._asked_us) // 1000
+        where = f"{self.host}:{self.port}"
+        log.warning("discovery %s: %s: %s, after %d ms", where, type(error).__name__, error, spent_ms)
         self._hang_up()
         self.wait_ms = WAIT_MS[0]
         form = ListForm.REFUSED if isinstance(error, Refused) else ListForm.FAILED
@@ -165,6 +168,7 @@
 
     async def _ask(self) -> Listing:
         loop = asyncio.get_running_loop()
+        self._asked_us = now_us()
         if self._connection is None or self._connection.lost:
             fresh = Connection(self, Budget(MAX_LIST), MAX_LIST)
             async with asyncio.timeout(min(self.connect_s, AGAIN_CONNECT_S) if self.lost else self.connect_s):
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -108,6 +108,7 @@
         self.changed_s = time.time()  # when they came into force
         self.requests: dict[str, Request] = {}
         self.serial = 0
+        self.list_calls: Counter[str] = Counter()  # since the last report: what calls to discovery brought
         self.tally: Counter[str] = Counter()  # since the last report: answers by status, attempts by outcome
         self.ending = False  # nothing new is begun
         self.listed = asyncio.Event()  # a list has named endpoints
@@ -170,7 +171,8 @@
         """What happened since the last report, and the state, in one line for those on call."""
         up = self.upstream
         lines = [self.version(), f"open requests {len(self.requests)}, connections {up.open} of {up.most}"]
-        for tally in (self.tally, up.tally):
+        lines.append(f"{self._list_state()}, longest {self.balancer.freshness.longest_us / 1e6:.1f} s")
+        for tally in (self.list_calls, self.tally, up.tally):
             lines.append(", ".join(f"{name} {count}" for name, count in sorted(tally.items())) or "-")
             tally.clear()
         return "; ".join([*lines, self.invariants.summary(), state(self.balancer, now_us())])
@@ -332,6 +334,7 @@
             self._location(endpoint),
             partial(self._data, request, until_us=until),
             partial(self._ended, request),
+            f"{request.caller.label()} attempt {len(request.attempts)}",
         )
         if request.attempts:
             last = request.attempts[-1].outcome
@@ -384,15 +387,38 @@
         """Rule 3: the pools learn first, so that nothing new leaves for what drains or is gone."""
         lives = Counter(entry.endpoint.readiness.value for entry in entries)
         told = ", ".join(f"{count} {life}" for life, count in sorted(lives.items())) or "nothing new"
-        log.info("discovery tells (%s): %s", form.name.lower(), told)
+        log.info("discovery tells (%s): %s; before: %s", form.name.lower(), told, self._list_state())
+        self.list_calls[f"list {form.name.lower()}"] += 1
         if form in (ListForm.FULL, ListForm.CACHED):
             for missing in self.upstream.pools.keys() - {entry.endpoint.id for entry in entries}:
-                self.upstream.retire(missing)
+                self._retire(missing, "not in the list", form)
         for endpoint, host, port in entries:
             if endpoint.readiness is Readiness.READY:
                 self.upstream.place(endpoint.id, host, port, endpoint.launched_us)
             else:
-                self.upstream.retire(endpoint.id)
+                self._retire(endpoint.id, endpoint.readiness.value, form)
         if entries:
             self.listed.set()
         self._tell(self.balancer.discovery, form, [entry.endpoint for entry in entries])
+
+    def _retire(self, endpoint: str, why: str, form: ListForm) -> None:
+        """Begin nothing new there; note what was sent once its change may have counted as told."""
+        pool = self.upstream.retire(endpoint)
+        if pool is None or form is ListForm.CACHED:
+            return
+        since_us = self.balancer.freshness.breach_possible_since_us()
+        if pool.written_us > since_us:
+            late_s = (pool.written_us - since_us) / 1e6
+            detail = (
+                f"{pool.written} to {endpoint}, {late_s:.2f} s late if its change ({why}) was missed first"
+            )
+            message = f"told by {form.name.lower()} of version {self.watcher.generation}"
+            self.invariants.note_possible(Invariant.SENT_UNTOLD, f"{detail}; {message}, {self._list_state()}")
+
+    def _list_state(self) -> str:
+        """Where the list comes from, its version, and for how long changes may have been missed."""
+        watcher, freshness = self.watcher, self.balancer.freshness
+        return (
+            f"list {watcher.generation} of {watcher.host}:{watcher.port}, untold for"
+            f" {freshness.age_us(now_us()) / 1e6:.2f} s, {freshness.failures} calls failed in a row"
+        )
--- a/eiderhub/sidecar/invariants.py
+++ b/eiderhub/sidecar/invariants.py
@@ -2,7 +2,8 @@
 
 The module decides when it is asked to; what it decided on may be over by the time that bytes leave, or a
 connection closes. A guard is asked at that last moment. Where it says no, the action is left out, and the
-log and the figures tell of it: `prevented` where events merely crossed, `broken` where the program is wrong.
+log and the figures tell of it: `prevented` where events merely crossed, `broken` where the program is wrong,
+`possible` where the process can't know: a list that came too late tells no time of its changes.
 """
 
 from __future__ import annotations
@@ -27,6 +28,7 @@
     SENT_AFTER_DEADLINE = "no attempt once its time is over"
     SENT_AFTER_DEPARTURE = "no attempt for a caller that has left"
     SENT_TO_RETIRED = "no attempt to an endpoint that drains or is gone"
+    SENT_UNTOLD = "no attempt to an endpoint whose drain counts as told, though no list came"
     REPEATED_UNSAFELY = "no repeat that may run twice"
     CLOSED_UNANSWERED = "no close of a connection with an answer owed"
     TAKEN_BEFORE_START = "no request before the module has started"
@@ -53,6 +55,7 @@
     def __init__(self) -> None:
         self.broken: Counter[Invariant] = Counter()  # since the start
         self.prevented: Counter[Invariant] = Counter()
+        self.possible: Counter[Invariant] = Counter()
 
     def note_broken(self, invariant: Invariant, detail: str) -> None:
         """The program is wrong: events can't bring this about."""
@@ -64,10 +67,19 @@
         self.prevented[invariant] += 1
         log.info("left out: %s: %s", invariant.value, detail)
 
+    def note_possible(self, invariant: Invariant, detail: str) -> None:
+        """It may have been broken: what would tell is not known here."""
+        self.possible[invariant] += 1
+        log.warning("invariant possibly broken: %s: %s", invariant.value, detail)
+
     def summary(self) -> str:
         """The counts since the start, in one line."""
-        counts = [f"broken {i.name.lower()} {n}" for i, n in sorted(self.broken.items(), key=_name)]
-        counts += [f"prevented {i.name.lower()} {n}" for i, n in sorted(self.prevented.items(), key=_name)]
+        kinds = (("broken", self.broken), ("possible", self.possible), ("prevented", self.prevented))
+        counts = [
+            f"{kind} {invariant.name.lower()} {count}"
+            for kind, found in kinds
+            for invariant, count in sorted(found.items(), key=_name)
+        ]
         return "invariants: " + (", ".join(counts) or "all held")
 
 
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -226,7 +226,7 @@
     """One try of a request at one endpoint. It ends once; `on_end` is told how."""
 
     __slots__ = (
-        "alarm", "connection", "data", "endpoint", "location", "number", "on_end", "outcome", "over",
+        "alarm", "connection", "data", "endpoint", "label", "location", "number", "on_end", "outcome", "over",
         "sent_us", "written_us",
     )  # fmt: skip
 
@@ -237,7 +237,9 @@
         location: Location,
         data: Callable[[Attempt], bytes | None],
         on_end: Callable[[Attempt, Outcome, Response | None], None],
+        label: str = "",
     ) -> None:
+        self.label = label  # what the log names it by
         self.number = number
         self.endpoint = endpoint
         self.location = location
@@ -283,6 +285,8 @@
         self.port = port
         self.launched_us = launched_us
         self.ready = True
+        self.written_us = 0  # when the last attempt was given to the kernel; 0: none was
+        self.written = ""  # its label
         self.idle: list[Connection] = []  # the most recently used last
 
     def take(self) -> Connection | None:
@@ -405,15 +409,17 @@
         if pool is None:
             self.pools[endpoint] = Pool(self, host, port, launched_us)
 
-    def retire(self, endpoint: str) -> None:
+    def retire(self, endpoint: str) -> Pool | None:
         """An endpoint that drains or is gone: what it has may end, nothing new begins.
 
-        Its pool is forgotten here, or ids that are ever new would add up; what is out still knows it.
+        Its pool, which is returned, is forgotten here, or ids that are ever new would add up; what is out
+        still knows it.
         """
         pool = self.pools.pop(endpoint, None)
         if pool is not None:
             pool.ready = False
             pool.close_idle()
+        return pool
 
     def close_idle(self, endpoint: str) -> None:
         pool = self.pools.get(endpoint)
@@ -488,6 +494,7 @@
             return
         connection.attempt = attempt
         attempt.connection = connection
-        attempt.written_us = now_us()
+        attempt.written_us = pool.written_us = now_us()
+        pool.written = attempt.label
         self.active[connection] = None
         connection.send(data)
--- /dev/null
+++ b/tests/test_list_freshness.py
@@ -0,0 +1,97 @@
+"""How fresh the list is, and the guard on sends after a change counted as told though no list came."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from eiderhub.interface import Discovery, ListForm, Rules
+from eiderhub.policy import list_freshness
+from eiderhub.policy.list_freshness import MOVED_AFTER_US, NEVER_US, TOLD_AFTER_US, ListFreshness
+from eiderhub.sidecar.invariants import Invariant
+from tests.sidecar_support import Sidecar, listing, row, run
+from tests.support import MS, S, settings
+
+GRACE_US = 1_500 * MS
+NOW = 1_000 * S
+
+
+def freshness(form: Discovery = Discovery.ASK) -> ListFreshness:
+    return ListFreshness(settings(discovery=form, rules=Rules(drain_grace_us=GRACE_US)), NOW)
+
+
+def test_nothing_is_missed_while_a_watch_is_open() -> None:
+    fresh = freshness()
+    fresh.told(NOW + 1 * S)
+    assert fresh.age_us(NOW + 60 * S) == 0
+    assert fresh.breach_possible_since_us() == NEVER_US
+    assert fresh.longest_us == 1 * S
+
+
+def test_after_an_answer_whose_next_call_is_refused_changes_may_be_missed_from_then_on() -> None:
+    fresh = freshness()
+    fresh.told(NOW)
+    for at in range(1, 4):
+        fresh.failed(NOW + at * S, ListForm.REFUSED, 30 * MS)
+    assert fresh.age_us(NOW + 5 * S) == 5 * S
+    assert fresh.failures == 3
+    assert fresh.counts_as_told_us() == NOW + TOLD_AFTER_US
+    assert fresh.breach_possible_since_us() == NOW + TOLD_AFTER_US + GRACE_US
+
+
+def test_a_move_counts_as_told_earlier_and_an_outage_later() -> None:
+    fresh = freshness()
+    fresh.told(NOW)
+    fresh.moved(NOW + 1 * S)
+    assert fresh.counts_as_told_us() == NOW + 1 * S + MOVED_AFTER_US
+    fresh.failed(NOW + 9 * S, ListForm.FAILED, 5 * MS)
+    assert fresh.counts_as_told_us() == NOW + 9 * S + TOLD_AFTER_US
+
+
+def test_a_watch_that_is_reset_told_all_until_then() -> None:
+    fresh = freshness()
+    fresh.told(NOW)
+    fresh.failed(NOW + 8 * S, ListForm.FAILED, 8 * S)
+    assert fresh.age_us(NOW + 9 * S) == 1 * S
+
+
+def test_pushed_lists_count_as_told_at_once() -> None:
+    fresh = freshness(Discovery.PUSH)
+    fresh.told(NOW)
+    fresh.failed(NOW + 1 * S, ListForm.LOST, 1 * S)
+    assert fresh.counts_as_told_us() == NOW
+
+
+@pytest.mark.parametrize("late", [True, False])
+def test_guard_notes_what_was_sent_after_a_change_counted_as_told(
+    late: bool, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Only the list that comes late shows that a send may have broken the rule."""
+    if late:
+        monkeypatch.setattr(list_freshness, "TOLD_AFTER_US", 0)
+
+    async def test() -> None:
+        async with Sidecar(Rules={"DrainGraceUs": 0, "AskEveryUs": 10_000_000}) as sidecar:
+            (await sidecar.discovery.next()).reply(503, b"")
+            asking = await sidecar.discovery.next()
+            client = await sidecar.client()
+            client.send(request_id="r-7")
+            (await sidecar.endpoints[0].next()).reply(200)
+            await client.answer()
+            asking.reply(200, listing(9, False, row("s-0", sidecar.endpoints[0].address, "draining")))
+            await sidecar.discovery.next()
+            found = sidecar.host.invariants.possible
+            assert found == ({Invariant.SENT_UNTOLD: 1} if late else {})
+            report = sidecar.host.report()
+            assert ("possible sent_untold 1" in report) is late
+            assert "list refused 1" in report and "list delta 1" in report
+            await asyncio.sleep(0)
+
+    run(test())
+    lines = [record.message for record in caplog.records if "possibly broken" in record.message]
+    assert len(lines) == late
+    for line in lines:
+        assert (
+            "request r-7 attempt 0 to s-0" in line and "(draining)" in line and "delta of version 9" in line
+        )
