Space calls at a full discovery by what a turn takes, and rest only after entries

Two reasons, each seen in logs. A watch may end instead of telling; a bare answer then counts as telling the change, and the rest of 2 s after it (for a refusal ten seconds before) was longer than the grace. And a refusal costs discovery: with 50 calls a second turned away it served one in 2 s, with 4 a second two to three a second; by that a refusal takes about 0.05 of a call, which the simulation did not have.

Change: no rest after an answer without entries, and the next call then is due within the grace. The mean wait is what the last answer took, within 0.2 and 0.4 s, and grows past 12 refusals in a row up to 1 s. Sidecars yield up to 2 s before an answer is due (4 s before), and rest for 3 s. The simulation and the soak's discovery spend 0.05 of a call on a refusal; answers that tell nothing are bare in the simulation too.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -203,7 +203,7 @@
                 self._ask_later(now_us, self.renewal.wait(now_us, form, self.random.random(), due))
             return
         if form is not ListForm.CACHED:
-            self._told(now_us)
+            self._told(now_us, bare=not entries)
         if form is not ListForm.DELTA:
             listed = {e.id for e in entries}
             for known in [e for e in self.endpoints.values() if e.id not in listed]:
@@ -266,10 +266,17 @@
         else:
             self._ask(now_us)
 
-    def _told(self, now: int) -> None:
-        """Discovery has answered; where others need its next turn more, the watch rests."""
+    def _told(self, now: int, bare: bool) -> None:
+        """Discovery has answered; where others need its next turn more, the watch rests.
+
+        Not where the answer is bare: it may stand in place of changes, which have to be asked for at once.
+        """
+        if not bare and not self.freshness.watching:
+            self.renewal.answered(now)
         self.renewal.told(now)
-        self.freshness.told(now)
+        self.freshness.told(now, bare)
+        if bare:
+            return
         rest = self.renewal.rest(self.random)
         if rest:
             self.freshness.paused()
--- a/eiderhub/policy/discovery_schedule.py
+++ b/eiderhub/policy/discovery_schedule.py
@@ -15,12 +15,15 @@
 ASK_REFUSED_US = 220_000  # but so long at least after a refusal
 REFUSED_AT_ONCE_US = 250_000  # a call refused within this has not waited for its turn
 
-# Turns at a discovery with a full queue: the nearer a sidecar is to the time at which a change that it lacks
-# counts as told, the more often it asks.
-YIELD_SLACK_US = 4_000_000  # with more time than this left it leaves the turn to others
-SLACK_TRIES = 8.0  # times that it asks, in the mean, in what would be left if no time passed meanwhile
-TURN_LEAST_US = 120_000  # the mean wait at the least
-REST_US = 2_000_000  # mean wait before the next watch, after an answer by a discovery that refused at once
+# Turns at a discovery with a full queue. A call that is turned away costs discovery as well: where many ask
+# very often, it does nothing else.
+YIELD_SLACK_US = 2_000_000  # with more time than this left a sidecar leaves the turn to others
+TURN_WAITS_US = (200_000, 400_000)  # the mean wait is what the last answer took, within these
+TURN_MOST_US = 1_000_000  # whatever it took, and however often it was refused
+REFUSALS_USUAL = 12  # after more in a row the wait grows with them: more is asked than can be answered
+
+TURN_FIRST_US = 300_000  # where none is known
+REST_US = 3_000_000  # mean wait before the next watch, after an answer by a discovery that refused at once
 REST_PART = 4  # but at most this part of the time for which the settings let a list stand
 MOVE_SETTLES_US = 300_000  # so soon after a move a further one waits for the last of them
 
@@ -36,14 +39,15 @@
 
     One that was turned away at once tells of a short queue: whoever calls just as it has room is served.
     Where all ask at one rate that is left to chance, and one in many is not served for many times the 6 s. So
-    they ask by how long they have left (least slack first): those that were told lately yield, also with the
-    watch that would follow, and those that have waited longest ask most. All are served in little more than
-    the time that their calls take together.
+    they ask by how long they have left: those that were told lately yield, also with the watch that would
+    follow, and leave the turns to those that have waited longest. These ask about once in the time that a
+    turn takes; more often, and the refusals alone keep discovery busy.
     """
 
     def __init__(self, settings: Settings, now: int) -> None:
         self.moves_at = now - MOVE_SETTLES_US  # until when a move counts as in a row with the next
         self.full = False  # since the last answer a call was turned away at once
+        self.turn_us = TURN_FIRST_US
         self.configure(settings)
         self.told(now)
 
@@ -65,6 +69,7 @@
         self.slowest = ASK_FIRST_US
         self.retrying = self.moved = False
         self.at_once = 0
+        self.refusals = 0  # at once, in a row
 
     def rest(self, rng: random.Random) -> int:
         """How long the next watch waits after an answer: the place in a full queue is another's first."""
@@ -91,6 +96,7 @@
             return int(ASK_REFUSED_US * (1 + 0.4 * chance)) if form is ListForm.REFUSED else 0
         if turned_away:
             self.retrying, self.at_once = True, 0
+            self.refusals += 1
             return min(self.crowded - (now - self.began), self._turn_wait(turn_due_us - now, chance))
         part, slowest = 0.5, min(self.slowest, self.longest, ASK_MOVED_US if self.moved else self.longest)
         if form is ListForm.REFUSED:
@@ -104,10 +110,13 @@
         self.retrying, self.at_once = True, 0
         return max(int(slowest * drawn) - spent, int(ASK_LEAST_US * drawn))
 
+    def answered(self, now: int) -> None:
+        """An answer has come that had not to wait for news: it tells what a turn takes."""
+        least, most = TURN_WAITS_US
+        self.turn_us = max(least, min(now - self.began, most))
+
     def _turn_wait(self, slack_us: int, chance: float) -> int:
         """The wait at a full queue with so much time left."""
-        if self.pushed:  # what the agent has counts at once: nobody has time to yield
-            slack_us = min(slack_us, YIELD_SLACK_US)
-        if slack_us > YIELD_SLACK_US:
-            return slack_us - YIELD_SLACK_US + int(YIELD_SLACK_US / SLACK_TRIES * chance)
-        return int(max(TURN_LEAST_US, slack_us / SLACK_TRIES) * (0.5 + chance))
+        yields_us = 0 if self.pushed else slack_us - YIELD_SLACK_US  # pushed lists count at once
+        mean_us = min(TURN_MOST_US, self.turn_us * max(1.0, self.refusals / REFUSALS_USUAL))
+        return max(0, yields_us) + int(mean_us * (0.5 + chance))
--- a/eiderhub/policy/list_freshness.py
+++ b/eiderhub/policy/list_freshness.py
@@ -22,6 +22,7 @@
         self.watching = False  # an answer has come, and the call after it has not failed
         self.moved_at = -NEVER_US  # when discovery was moved, while the new address has told nothing
         self.unreachable_until = -NEVER_US  # when the last call failed for want of anybody who answers
+        self.bare = False  # the last answer held no entry: a watch may end instead of telling
         self.failures = 0  # calls in a row that brought no list
         self.longest_us = 0  # the longest time that changes may have been missed for, since the start
         self.configure(settings)
@@ -31,8 +32,12 @@
         self.pushed = settings.discovery is Discovery.PUSH
         self.grace_us = settings.rules.drain_grace_us
 
-    def told(self, now: int) -> None:
-        """An answer has come: it holds every change up to now."""
+    def told(self, now: int, bare: bool) -> None:
+        """An answer has come: it holds every change up to now.
+
+        A bare one may stand in place of changes that count as told with it: the next call has to bring them.
+        """
+        self.bare = bare
         self.longest_us = max(self.longest_us, self.age_us(now))
         self.known_until = now
         self.watching = True
@@ -49,7 +54,7 @@
         # One that fell silent may have done so at its beginning, and one that was refused was never accepted.
         if form is ListForm.FAILED:
             if self.watching or spent_us > ACCEPTED_US:
-                self.known_until = now
+                self.known_until, self.bare = now, False
             else:
                 self.unreachable_until = now
         self.watching = False
@@ -57,7 +62,7 @@
     def moved(self, now: int) -> None:
         """Discovery is at another address, which has told nothing yet."""
         if self.watching:
-            self.known_until = now
+            self.known_until, self.bare = now, False
         self.watching = False
         self.moved_at = now
 
@@ -68,6 +73,8 @@
     def counts_as_told_us(self) -> int:
         """When the earliest change that may have been missed counts as told."""
         after_us = 0 if self.pushed else TOLD_AFTER_US
+        if self.bare:
+            return self.known_until
         reached = max(self.known_until, self.unreachable_until)
         return max(reached + after_us, self.moved_at + MOVED_AFTER_US)
 
@@ -76,7 +83,7 @@
 
         Earlier than `counts_as_told_us` where that moves on: after an outage, or with moves in a row.
         """
-        due = self.known_until + TOLD_AFTER_US
+        due = self.known_until + (self.grace_us if self.bare else TOLD_AFTER_US)
         return min(due, self.moved_at + MOVED_AFTER_US) if self.moved_at > -NEVER_US else due
 
     def breach_possible_since_us(self) -> int:
--- a/faults/discovery.py
+++ b/faults/discovery.py
@@ -33,6 +33,7 @@
     """How discovery serves."""
 
     cost_s: float = 0.0  # of each call and of each answer to a watch, one after another
+    refusal_share: float = 0.05  # of that cost, that turning a call away costs
     room: int = 1_000  # calls that may wait for their turn; more are refused at once
     lost_share: float = 0.0  # of answers: kept back, cut or broken off
     pieces: bool = False  # answers are written in small pieces
@@ -155,6 +156,7 @@
             return False
         if self.mode is Mode.REFUSE or self._taken > self.shape.room:
             self.refused += 1
+            self._free_s += self.shape.refusal_share * self.shape.cost_s
             writer.write(REFUSAL)
             return True
         await self._take_turn()
--- a/faults/soak.py
+++ b/faults/soak.py
@@ -344,7 +344,7 @@
     if chosen.crowded_ms is None:
         plan = drawn(chosen.seed, chosen.sidecars, chosen.endpoints, chosen.seconds)
     else:
-        shape = Shape(chosen.crowded_ms / 1000, chosen.room, chosen.lost)
+        shape = Shape(chosen.crowded_ms / 1000, room=chosen.room, lost_share=chosen.lost)
         plan = crowded(chosen.seed, chosen.sidecars, chosen.seconds, shape)
     with contextlib.ExitStack() as stack:
         folder = chosen.logs or Path(stack.enter_context(tempfile.TemporaryDirectory()))
--- a/fleet/crowded_discovery.py
+++ b/fleet/crowded_discovery.py
@@ -19,7 +19,17 @@
 import typer
 
 from eiderhub.balancer import ASK, Balancer
-from eiderhub.interface import Actions, Discovery, Limits, ListForm, RequestClass, Rules, Settings
+from eiderhub.interface import (
+    Actions,
+    Discovery,
+    Endpoint,
+    Limits,
+    ListForm,
+    Readiness,
+    RequestClass,
+    Rules,
+    Settings,
+)
 from eiderhub.interface import Effect as RepeatEffect
 from eiderhub.policy.watch_waits import WatchWaits
 from eiderhub.sidecar.discovery import PATIENCE_S, WATCH_PATIENCE_S
@@ -30,6 +40,7 @@
 TOLD_US = 6 * S  # a change counts as told so long after it was made
 MOVED_US = 4 * S  # what a new address has counts as told so long after the reload that names it
 LOST_US = 2 * S  # what a lost answer to a watch told counts so long after its wait is over
+ENTRY = Endpoint("10.0.0.1:80", "a", "m", 0, Readiness.READY)  # in place of what an answer holds
 GRACE_US = 1_500 * MS
 ASK_EVERY_US = 10 * S
 
@@ -42,6 +53,7 @@
     cost_us: int
     room: int = 1  # calls that may wait behind the one that is served; more are turned away at once
     lost_share: float = 0.0  # of answers, on their way
+    refusal_share: float = 0.05  # of a call's cost, that turning one away costs: measured (docs/incidents)
     moves: int = 3  # reloads of each sidecar that move discovery, in a row
     moves_within_us: int = 3 * S
     change_every_us: int = 4 * S
@@ -108,6 +120,7 @@
         self.generation = 1
         self.figures = Figures()
         self._queue: deque[Call] = deque()
+        self._refusals_us = 0  # work on refusals since the last call was begun
         self._parked: dict[tuple[int, int], Call] = {}
 
     def ask(self, call: Call) -> None:
@@ -115,6 +128,7 @@
         self.figures.calls += 1
         if len(self._queue) > self.scenario.room:
             self.figures.refused += 1
+            self._refusals_us += int(self.scenario.refusal_share * self.scenario.cost_us)
             self.refused(call)
             return
         self._push(call)
@@ -133,12 +147,20 @@
     def _push(self, call: Call) -> None:
         self._queue.append(call)
         if len(self._queue) == 1:
-            self.events.after(self.scenario.cost_us, self._serve)
+            self._begin()
+
+    def _begin(self) -> None:
+        self._refusals_us = 0
+        self.events.after(self.scenario.cost_us, self._serve)
 
     def _serve(self) -> None:
+        if self._refusals_us:  # they came in between, and are done first
+            spent_us, self._refusals_us = self._refusals_us, 0
+            self.events.after(spent_us, self._serve)
+            return
         call = self._queue.popleft()
         if self._queue:
-            self.events.after(self.scenario.cost_us, self._serve)
+            self._begin()
         if call.after < self.generation:
             self.answered(call, self.generation)
             return
@@ -224,7 +246,7 @@
         self._waits.answered()
         self._carried_on = True
         self.told.append((now, generation))
-        self.balancer.discovery(now, form, [])
+        self.balancer.discovery(now, form, [ENTRY] if call.after < generation else [])
         if self._watching:
             self._ask()
 
--- a/tests/test_crowded_discovery.py
+++ b/tests/test_crowded_discovery.py
@@ -12,6 +12,13 @@
 
 from eiderhub.balancer import ASK, Balancer
 from eiderhub.interface import Actions, Discovery, ListForm, Rules
+from eiderhub.policy.discovery_schedule import (
+    MOVE_SETTLES_US,
+    REST_US,
+    TURN_MOST_US,
+    TURN_WAITS_US,
+    YIELD_SLACK_US,
+)
 from eiderhub.policy.watch_waits import (
     FIRST_MS,
     LEAST_SHARE,
@@ -22,7 +29,7 @@
 )
 from fleet.crowded_discovery import Fleet, Scenario
 from tests.sidecar_support import Sidecar, listing, row, run
-from tests.support import MS, S, settings
+from tests.support import MS, Host, S, endpoints, settings
 
 WATCH_US = 3_500 * MS  # a watch is answered after so long
 TOLD_S = 6.0  # a change counts as told so long after discovery had it and could be reached
@@ -176,3 +183,82 @@
     waits.failed(2 * S + LOSSY_US, ListForm.FAILED)
     assert waits.draw(1.0) == FIRST_MS
     assert waits.draw(0.0) == LEAST_SHARE * FIRST_MS
+
+
+def turned_away(host: Host) -> int:
+    """The wait after a call that is refused at once."""
+    host.timers.clear()
+    host.balancer.discovery(host.now, ListForm.REFUSED, [])
+    ((due, _),) = host.timers
+    return due - host.now
+
+
+def asking_host(entries: int = 2) -> Host:
+    return Host(
+        settings(discovery=Discovery.ASK, rules=Rules(ask_every_us=20 * S, drain_grace_us=1_500 * MS)),
+        endpoints(entries),
+    )
+
+
+def test_after_an_answer_of_a_full_discovery_the_watch_rests() -> None:
+    host = asking_host()
+    host.advance(turned_away(host))
+    host.did.clear()
+    host.timers.clear()
+    host.balancer.discovery(host.now, ListForm.FULL, endpoints(2))
+    assert host.did == [("tail", False)]
+    ((due, _),) = host.timers
+    assert REST_US * 0.75 <= due - host.now <= REST_US * 1.25
+    host.advance(due - host.now)
+    assert host.did[-1] == ("tail", True)
+    assert turned_away(host) >= TOLD_S * S - YIELD_SLACK_US - REST_US * 1.25  # it yields: others need it more
+
+
+def test_after_a_bare_answer_the_next_call_follows_at_once_and_is_urgent() -> None:
+    """Seen on herd+brink: a watch ended in place of a drain, which counted as told at once."""
+    host = asking_host()
+    host.advance(turned_away(host))
+    host.did.clear()
+    host.balancer.discovery(host.now, ListForm.DELTA, [])
+    assert host.did == []  # the watch goes on
+    assert turned_away(host) <= 1.5 * TURN_WAITS_US[1]
+
+
+def test_the_oldest_ask_about_once_in_the_time_that_a_turn_takes() -> None:
+    """Asking every 0.12 s kept discovery from all else: 50 calls a second were turned away."""
+    least, most = TURN_WAITS_US
+    for took_us in (10 * MS, 400 * MS, 5 * S):
+        host = asking_host()
+        turn_us = max(least, min(took_us, most))
+        host.advance(turned_away(host))
+        host.now += took_us
+        host.balancer.discovery(host.now, ListForm.FULL, endpoints(2))
+        host.now += int(TOLD_S * S)
+        waits = []
+        for _ in range(30):
+            host.balancer.ask_at = -1
+            host.balancer.renewal.began = host.now
+            host.balancer.renewal.refusals = 0
+            waits.append(turned_away(host))
+        assert 0.5 * turn_us <= min(waits) and max(waits) <= 1.7 * turn_us
+        assert max(waits) - min(waits) > 0.5 * turn_us  # drawn, or they would come in step
+        host.balancer.ask_at = -1
+        host.balancer.renewal.refusals = 1000  # more is asked than can be answered
+        assert 0.5 * TURN_MOST_US <= turned_away(host) <= 1.5 * TURN_MOST_US
+
+
+def test_of_moves_in_a_row_only_the_last_is_asked() -> None:
+    host = asking_host()
+    host.did.clear()
+    host.timers.clear()
+    host.balancer.moved(host.now)
+    assert host.did == [("tail", True)]
+    for _ in range(3):
+        host.now += MOVE_SETTLES_US - 1
+        host.balancer.moved(host.now)
+    assert host.did == [("tail", True)]
+    host.advance(MOVE_SETTLES_US)
+    assert host.did == [("tail", True)] * 2
+    host.now += MOVE_SETTLES_US
+    host.balancer.moved(host.now)
+    assert host.did == [("tail", True)] * 3
