Mend three faults of the soak's own: cut lists, early calls and signals to the next process

Cause: a list that an outage cut while it was written in pieces was noted as told; a call that came while the last piece was being waited for was taken for a hang-up; a late SIGTERM of a series ended the next process of that name.

Change: a list counts as written once its last piece is; a hang-up is the end of the stream; a signal goes to the process that it was meant for.

--- a/faults/discovery.py
+++ b/faults/discovery.py
@@ -14,7 +14,9 @@
 
 ADDRESSES = 3  # that lead to the same lists; a reload may name another one
 WHOLE = -1  # in place of a generation: the whole list is asked for
+LEFT_EVERY_S = 0.02  # how often it is looked whether a sidecar that waits has hung up
 SHORT_S = 0.005  # between two pieces of an answer
+PIECES = 4  # that an answer is written in, where it is not written in one go
 REFUSAL = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
 Row = dict[str, object]
 
@@ -127,9 +129,8 @@
                 message = await read_message(reader)
                 call = self._read(sidecar, message.first.split(" ")[1])
                 work = asyncio.ensure_future(self._answer(call, writer))
-                left = asyncio.ensure_future(reader.read(1))  # nothing comes before the answer but the end
-                await asyncio.wait((work, left), return_when=asyncio.FIRST_COMPLETED)
-                left.cancel()
+                while not work.done() and not reader.at_eof() and reader.exception() is None:
+                    await asyncio.wait((work,), timeout=LEFT_EVERY_S)
                 if not work.done():
                     work.cancel()
                     return
@@ -187,21 +188,24 @@
         generation = self.generation
         body = json.dumps(self.listing(WHOLE if whole else call.after)).encode()
         data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
-        now_s = asyncio.get_running_loop().time()
         if self.rng.random() < self.shape.lost_share:
-            if call.after != WHOLE:
-                self.notifications.lost_answer(call.sidecar, call.asked_s, call.asked_s + call.wait_s)
+            self._note_lost(call)
             return await self._lose(data, writer)
-        self.notifications.wrote(call.sidecar, generation, now_s)
-        if not self.shape.pieces:
-            writer.write(data)
-            return True
-        step = max(1, len(data) // 4)
+        step = max(1, len(data) // PIECES) if self.shape.pieces else len(data)
         for place in range(0, len(data), step):
+            if place:
+                await asyncio.sleep(SHORT_S)
+            if writer.is_closing():  # an outage came in between
+                self._note_lost(call)
+                return False
             writer.write(data[place : place + step])
-            await asyncio.sleep(SHORT_S)
+        self.notifications.wrote(call.sidecar, generation, asyncio.get_running_loop().time())
         return True
 
+    def _note_lost(self, call: Call) -> None:
+        if call.after != WHOLE:
+            self.notifications.lost_answer(call.sidecar, call.asked_s, call.asked_s + call.wait_s)
+
     async def _lose(self, data: bytes, writer: asyncio.StreamWriter) -> bool:
         """The answer does not come, or not whole: kept back, stopped half way, or broken off."""
         way = self.rng.randrange(3)
--- a/faults/soak.py
+++ b/faults/soak.py
@@ -171,8 +171,10 @@
         sidecar.busy = False
 
     async def _signal_later(self, sidecar: SidecarProcess, number: int) -> None:
+        process = sidecar.process
         await asyncio.sleep(self.rng.random() * self.plan.kill_after_s)
-        sidecar.send(number)
+        if sidecar.process is process:  # not to the next one under that name
+            sidecar.send(number)
 
     async def kill_one(self) -> None:
         """SIGKILL and a start."""
