--- a/eiderhub/policy/discovery_schedule.py
+++ b/eiderhub/policy/discovery_schedule.py
@@ -19,10 +19,9 @@
 # very often, it does nothing else.
 YIELD_SLACK_US = 2_000_000  # with more time than this left a sidecar leaves the turn to others
 TURN_WAITS_US = (200_000, 400_000)  # the mean wait is what the last answer took, within these
+TURN_FIRST_US = 300_000  # where none is known
 TURN_MOST_US = 1_000_000  # whatever it took, and however often it was refused
 REFUSALS_USUAL = 12  # after more in a row the wait grows with them: more is asked than can be answered
-
-TURN_FIRST_US = 300_000  # where none is known
 REST_US = 3_000_000  # mean wait before the next watch, after an answer by a discovery that refused at once
 REST_PART = 4  # but at most this part of the time for which the settings let a list stand
 MOVE_SETTLES_US = 300_000  # so soon after a move a further one waits for the last of them
--- a/faults/processes.py
+++ b/faults/processes.py
@@ -134,6 +134,8 @@
         with contextlib.suppress(ProcessLookupError):
             self.process.kill()
         await self.process.wait()
+        # What clients wrote before their connection told them of it has nobody to answer it either.
+        self.target.killed_s.append(asyncio.get_running_loop().time())
 
     def check_log(self) -> None:
         """A guard that found an invariant broken, or a traceback, is a violation."""
