Wait for late answers of discovery beside a second call, and keep places in its queue

What callers saw: requests sent to endpoints up to 32 s after they drained or left, where discovery works through its calls in a line: each was declined and repeated elsewhere, or failed.

Cause: a call was given up 2 s after it began (a watch 1 s after its wait) and made anew at the end of the line, while discovery still served the old one for nobody. Where a round of all callers takes about 2 s nobody was answered any more, and a change of address threw a place away as well.

Evidence: simulated with the real decision modules (`emulator overload`, which knows lines without room to spare, lines that reject after 2.5 s, dense changes and moves in a row now, and charges the end of a watch). In a trace of 7 sidecars at 280 ms, a change in 0.4 s and no move, discovery served 7 calls in 2 s, of them 5 or 6 that were given up. Excluded: a list that was not put in force (none came), rejections (there are none in this form).

Change: an answer that is late is asked for by a second call beside the first (HedgedCall, AnswerTimeout). Discovery answers in turn, so the first call's answer comes first where answers are late, and the second's where the first's is lost: only that tells the two apart. Not more than two calls are out. A call that is out at an old address is ended when the first call at the new one begins, and not before.

--- a/corkdoor/policy/discovery/poll_state.py
+++ b/corkdoor/policy/discovery/poll_state.py
@@ -23,6 +23,6 @@
         # A pushed list may arrive although no call is out.
         PollState.BACKING_OFF: frozenset((PollState.CALLING, PollState.RESTING, PollState.SETTLING)),
         PollState.RESTING: frozenset((PollState.CALLING, PollState.SETTLING)),
-        PollState.SETTLING: frozenset((PollState.CALLING, PollState.SETTLING)),
+        PollState.SETTLING: frozenset((PollState.CALLING, PollState.SETTLING, PollState.RESTING)),
     },
 )
--- a/corkdoor/policy/discovery/watch_timeout.py
+++ b/corkdoor/policy/discovery/watch_timeout.py
@@ -11,6 +11,7 @@
 from corkdoor.model import WatchEventKind
 
 FIRST_MS = 4_000
+POLL_MS = 100  # of a call that is to be answered at once
 MAX_MS = 30_000
 LOSSY_MS = 1_000  # of each first watch while answers get lost
 LOSSY_PERIOD_US = 60_000_000  # after a lost answer
--- a/corkdoor/sidecar/discovery/client.py
+++ b/corkdoor/sidecar/discovery/client.py
@@ -11,7 +11,6 @@
 from corkdoor.sidecar.discovery.endpoint_list import EndpointList, read_endpoint_list
 from corkdoor.sidecar.discovery.errors import (
     AnswerStalledError,
-    AnswerTimeoutError,
     AnswerTruncatedError,
     AnswerUnreadableError,
     CallRejectedError,
@@ -24,8 +23,6 @@
 from corkdoor.sidecar.upstream.response import Response
 
 MAX_LIST_BYTES = 2 << 20  # an endpoint takes some 200
-POLL_TIMEOUT_S = 2.0
-WATCH_GRACE_S = 1.0  # a watch may be late by so much: 1 s later its changes count as notified
 STALL_S = 0.3  # an answer is written in one go, so one that stops for so long is not continued
 LIST_PATH = "/discovery/hosts"
 
@@ -40,9 +37,9 @@
         return LIST_PATH
 
     @property
-    def timeout_s(self) -> float:
-        """How long an answer is waited for, in seconds."""
-        return POLL_TIMEOUT_S
+    def wait_us(self) -> int:
+        """How long discovery may wait for a change, in microseconds."""
+        return 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,9 +60,12 @@
         return f"{LIST_PATH}?after={self.generation}&wait_ms={self.wait_ms}"
 
     @property
-    def timeout_s(self) -> float:
-        """How long an answer is waited for, in seconds."""
-        return self.wait_ms / 1000 + WATCH_GRACE_S
+    def wait_us(self) -> int:
+        """How long discovery may wait for a change, in microseconds."""
+        return self.wait_ms * 1000
+
+
+DiscoveryRequest = PollRequest | WatchRequest
 
 
 class DiscoveryClient:
@@ -77,34 +77,19 @@
         self._connection: Connection | None = None
         self._answer: asyncio.Future[Response] | None = None
 
-    async def connect(self, timeout_s: float) -> Connection:
-        """Return the open connection, or open one.
-
-        Raises:
-            OSError: it could not be opened; TimeoutError: not within `timeout_s` seconds.
-        """
-        if self._connection is None or self._connection.closed:
-            opened = Connection(self, ByteBudget(MAX_LIST_BYTES), MAX_LIST_BYTES)
-            async with asyncio.timeout(timeout_s):
-                await connect(opened, self.host, self.port)
-            self._connection = opened
-        return self._connection
-
-    async def fetch(self, connection: Connection, request: PollRequest | WatchRequest) -> EndpointList:
-        """Send a request on the open connection and return the endpoint list that answers it.
+    async def call(self, request: DiscoveryRequest, connect_timeout_s: float) -> EndpointList:
+        """Send a request on the open connection, or on a new one, and return the list that answers it.
 
         Raises:
             DiscoveryError: the call failed; its class says how.
+            OSError: the connection could not be opened; TimeoutError: not within `connect_timeout_s` seconds.
             OverflowError: the list holds a number that is too large.
         """
-        self._answer = asyncio.get_running_loop().create_future()
-        head = f"GET {request.target} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n"
-        connection.send(head.encode())
         try:
-            async with asyncio.timeout(request.timeout_s):
-                response = await self._complete_answer(self._answer, connection)
-        except TimeoutError:
-            raise AnswerTimeoutError(request.timeout_s) from None
+            response = await self._exchange(request, connect_timeout_s)
+        except asyncio.CancelledError:
+            self.close()  # its answer would be taken for that of the next call
+            raise
         if response.status != HTTPStatus.OK:
             raise CallRejectedError(response.status)
         try:
@@ -112,6 +97,21 @@
         except (ValueError, RecursionError) as error:
             raise AnswerUnreadableError(str(error)) from None
 
+    async def _exchange(self, request: DiscoveryRequest, connect_timeout_s: float) -> Response:
+        connection = await self._connect(connect_timeout_s)
+        self._answer = asyncio.get_running_loop().create_future()
+        head = f"GET {request.target} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n"
+        connection.send(head.encode())
+        return await self._complete_answer(self._answer, connection)
+
+    async def _connect(self, timeout_s: float) -> Connection:
+        if self._connection is None or self._connection.closed:
+            opened = Connection(self, ByteBudget(MAX_LIST_BYTES), MAX_LIST_BYTES)
+            async with asyncio.timeout(timeout_s):
+                await connect(opened, self.host, self.port)
+            self._connection = opened
+        return self._connection
+
     async def _complete_answer(self, answer: asyncio.Future[Response], connection: Connection) -> Response:
         """Wait for the answer; it may be long in coming, but may not stop once it has begun."""
         while not (await asyncio.wait((answer,), timeout=STALL_S))[0]:
--- a/corkdoor/sidecar/discovery/watcher.py
+++ b/corkdoor/sidecar/discovery/watcher.py
@@ -10,12 +10,14 @@
 
 from corkdoor.log_events import LogEvent
 from corkdoor.model import WatchEventKind
+from corkdoor.policy.discovery.answer_timeout import AnswerTimeout
 from corkdoor.policy.discovery.connect_timeout import reconnect_timeout_s
-from corkdoor.policy.discovery.watch_timeout import WatchTimeout
+from corkdoor.policy.discovery.watch_timeout import POLL_MS, WatchTimeout
 from corkdoor.sidecar.clock import now_us
-from corkdoor.sidecar.discovery.client import DiscoveryClient, PollRequest, WatchRequest
+from corkdoor.sidecar.discovery.client import DiscoveryClient, DiscoveryRequest, PollRequest, WatchRequest
 from corkdoor.sidecar.discovery.endpoint_list import EndpointList, ResolvedEndpoint
 from corkdoor.sidecar.discovery.errors import AnswerUnreadableError, DiscoveryError
+from corkdoor.sidecar.discovery.hedged_call import HedgedCall
 from corkdoor.state_machine import TransitionTable
 
 UNREADABLE_PAUSE_S = 0.22  # a call that comes sooner after an answer continues its watch
@@ -70,6 +72,9 @@
         self.state = WatcherState.STOPPED
         self.timeout = WatchTimeout()
         self._client = DiscoveryClient(host, port)
+        self._next_client: DiscoveryClient | None = None  # of an address that no call has begun at yet
+        self._call: HedgedCall | None = None
+        self._answer_timeout = AnswerTimeout()
         self._answer_lost = False  # that of the last call, or of one before since which all have failed
         self._call_began_us = 0
         self._task: asyncio.Task[None] | None = None
@@ -77,15 +82,20 @@
     @property
     def host(self) -> str:
         """Discovery's host."""
-        return self._client.host
+        return (self._next_client or self._client).host
 
     @property
     def port(self) -> int:
         """Discovery's port."""
-        return self._client.port
+        return (self._next_client or self._client).port
 
     def start(self) -> None:
-        """Call discovery, and watch it from its answer on; does nothing while it runs."""
+        """Call discovery, and watch it from its answer on.
+
+        Does nothing while it runs at the address in force; a call that is out at an older one is given up.
+        """
+        if self._next_client is not None:
+            self.stop()
         if self.state is WatcherState.STOPPED:
             self._enter(WatcherState.CALLING)
             self._task = asyncio.get_running_loop().create_task(self._run())
@@ -96,45 +106,57 @@
             self._task.cancel()
             self._task = None
             self._enter(WatcherState.STOPPED)
-            self._client.close()  # its answer would be taken for that of the next call
+            self._client.close()
+            self._client = DiscoveryClient(self._client.host, self._client.port)  # the old call ends later
             self.timeout.on_interruption(now_us())
 
     def change_address(self, host: str, port: int) -> None:
-        """Stop, and watch at another address once started again.
+        """Make the next call at another address; one that is out is waited for until then.
 
         The list in use stays until the new address has sent its own, which must be complete: its versions
         need not be those of the old address.
         """
         log.info(LogEvent("discovery_address_changed", host=host, port=port))
-        self.stop()
-        self._client = DiscoveryClient(host, port)
+        self._next_client = DiscoveryClient(host, port)
         self.known_generation = None
+        if self._call is not None:
+            self._call.abandons_address = True
 
     async def _run(self) -> None:
         while True:
             try:
-                answer = await self._call()
+                answer = await self._make_call()
             except Exception as error:  # whatever it is, the watch must not end unnoticed
                 await self._fail(error)
                 return
             self._answer_lost = False
             self.timeout.on_answer()
-            complete = answer.complete or self.known_generation is None
-            self.generation = self.known_generation = answer.generation
-            self.deliver(WatchEventKind.FULL if complete else WatchEventKind.DELTA, answer.entries)
+            self.deliver(WatchEventKind.FULL if answer.complete else WatchEventKind.DELTA, answer.entries)
 
-    async def _call(self) -> EndpointList:
+    async def _make_call(self) -> EndpointList:
+        """Make one call, and return the list that answers it."""
+        if self._next_client is not None:
+            self._client.close()
+            self._client, self._next_client = self._next_client, None
         self._call_began_us = now_us()
         timeout_s = self.connect_timeout_s
-        connection = await self._client.connect(
-            reconnect_timeout_s(timeout_s) if self._answer_lost else timeout_s
-        )
-        return await self._client.fetch(connection, self._next_request())
-
-    def _next_request(self) -> PollRequest | WatchRequest:
+        if self._answer_lost:
+            timeout_s = reconnect_timeout_s(timeout_s)
+        self._call = HedgedCall(self._client, self._answer_timeout, timeout_s)
+        request = self._request(self.timeout.draw_ms(random.random()))
+        try:
+            answer, self._client = await self._call.run(request, self._request(POLL_MS))
+        finally:
+            self._call = None
+        if self._next_client is None:
+            self.known_generation = answer.generation
+        self.generation = answer.generation
+        return answer._replace(complete=answer.complete or isinstance(request, PollRequest))
+
+    def _request(self, wait_ms: int) -> DiscoveryRequest:
         if self.known_generation is None:
             return PollRequest()
-        return WatchRequest(self.known_generation, self.timeout.draw_ms(random.random()))
+        return WatchRequest(self.known_generation, wait_ms)
 
     async def _fail(self, error: Exception) -> None:
         kind = error.kind if isinstance(error, DiscoveryError) else WatchEventKind.FAILED
--- a/emulator/overloaded_discovery/command.py
+++ b/emulator/overloaded_discovery/command.py
@@ -18,15 +18,30 @@
     cost_ms: Annotated[float, typer.Option(help="what a poll costs discovery")] = 280.0,
     capacity: Annotated[int, typer.Option("--capacity", "--room", help="polls that may wait")] = 1,
     lost: Annotated[float, typer.Option(help="share of responses that are lost")] = 0.0,
+    queue_limit_s: Annotated[float | None, typer.Option(help="after which a poll is rejected")] = None,
+    change_ms: Annotated[float, typer.Option(help="mean time between two changes")] = 4_000.0,
+    move_ms: Annotated[float | None, typer.Option(help="mean time between moves of one sidecar")] = None,
     seeds: Annotated[int, typer.Option(help="how many, from 1 on")] = 20,
 ) -> None:
     """Moves and changes at an overloaded discovery: how late sidecars know them, by a simulated clock."""
     scenarios = [
-        OverloadScenario(sidecars, int(cost_ms * MS), capacity, lost, seed=seed)
+        OverloadScenario(
+            sidecars,
+            int(cost_ms * MS),
+            capacity,
+            lost,
+            move_interval_us=None if move_ms is None else int(move_ms * MS),
+            change_interval_us=int(change_ms * MS),
+            queue_limit_us=None if queue_limit_s is None else int(queue_limit_s * S),
+            seed=seed,
+        )
         for seed in range(1, seeds + 1)
     ]
     results = [Simulation(scenario).play() for scenario in scenarios]
-    played = f"{sidecars} sidecars, {cost_ms:g} ms a poll, capacity {capacity}, {lost:.0%} lost"
+    played = (
+        f"{sidecars} sidecars, {cost_ms:g} ms a poll, capacity {capacity}, {lost:.0%} lost,"
+        f" a change in {change_ms:g} ms"
+    )
     print(f"{played}: {_summary(results)}")
 
 
--- a/emulator/overloaded_discovery/scenario.py
+++ b/emulator/overloaded_discovery/scenario.py
@@ -13,6 +13,7 @@
 LOST_AFTER_US = 2 * S  # and not before so long after a watch whose response was lost was to end
 DRAIN_GRACE_US = 1_500 * MS
 POLL_INTERVAL_US = 10 * S
+OLD_ADDRESS_US = 1_500 * MS  # after a move the old address closes its connections
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,9 +33,12 @@
     )
     moves: int = 3  # reloads of each sidecar that move discovery, in a row
     moves_within_us: int = 3 * S
+    move_interval_us: int | None = None  # mean time between further moves of one sidecar; None: no more
     change_interval_us: int = 4 * S  # mean
     length_us: int = 60 * S
     seed: int = 1
+    queue_limit_us: int | None = None  # a poll that has waited so long is rejected; None: it waits on
+    skips_abandoned: bool = False  # whether polls whose sidecar has hung up are not served
 
     def __post_init__(self) -> None:
         legal = self.sidecars >= 1 and self.cost_us >= 1 and self.capacity >= 0
--- a/emulator/overloaded_discovery/service.py
+++ b/emulator/overloaded_discovery/service.py
@@ -1,14 +1,23 @@
-"""The discovery of the simulation: one queue of polls, and watches that cost nothing while they wait."""
+"""The discovery of the simulation: one queue of polls, and watches that cost nothing while they are open."""
 
 from __future__ import annotations
 
 from collections import deque
 from collections.abc import Callable
+from typing import NamedTuple
 
 from emulator.overloaded_discovery.event_queue import EventQueue
 from emulator.overloaded_discovery.scenario import OverloadResult, OverloadScenario, SimulatedPoll
 
 
+class QueuedPoll(NamedTuple):
+    """A poll in the queue, and since when."""
+
+    poll: SimulatedPoll
+    since_us: int
+    watched: bool  # it has been answered with a watch, which a change has ended
+
+
 class OverloadedDiscovery:
     """Works through polls in turn, and rejects what comes while enough wait.
 
@@ -32,7 +41,8 @@
         self.on_rejection = on_rejection
         self.generation = 1
         self.result = OverloadResult()
-        self._queue: deque[SimulatedPoll] = deque()
+        self._queue: deque[QueuedPoll] = deque()
+        self._abandoned: set[tuple[int, int]] = set()  # by sidecar and serial, of polls in the queue
         self._rejection_work_us = 0  # since the current poll was begun
         self._watches: dict[tuple[int, int], SimulatedPoll] = {}  # by sidecar and serial
 
@@ -44,37 +54,55 @@
             self._rejection_work_us += int(self.scenario.rejection_cost_share * self.scenario.cost_us)
             self.on_rejection(poll)
             return
-        self._push(poll)
+        self._push(poll, watched=False)
 
     def disconnect(self, sidecar: int, serial: int) -> None:
-        """End an open watch; a poll in the queue is served for nobody."""
+        """End an open watch; a poll in the queue is served for nobody, where it is not skipped."""
         self._watches.pop((sidecar, serial), None)
+        if self.scenario.skips_abandoned:
+            self._abandoned.add((sidecar, serial))
 
     def change(self) -> None:
         """Make a new generation; those who watch are notified in turn."""
         self.generation += 1
         watches, self._watches = self._watches, {}
         for poll in watches.values():
-            self._push(poll)
+            self._push(poll, watched=True)
 
-    def _push(self, poll: SimulatedPoll) -> None:
-        self._queue.append(poll)
+    def _push(self, poll: SimulatedPoll, watched: bool) -> None:
+        self._queue.append(QueuedPoll(poll, self.events.now_us, watched))
         if len(self._queue) == 1:
             self._begin()
 
     def _begin(self) -> None:
+        """Begin with the first poll of the queue that is still to be served."""
+        while self._queue and self._drop(self._queue[0]):
+            self._queue.popleft()
         self._rejection_work_us = 0
-        self.events.call_after(self.scenario.cost_us, self._serve)
+        if self._queue:
+            self.events.call_after(self.scenario.cost_us, self._serve)
+
+    def _drop(self, queued: QueuedPoll) -> bool:
+        """Return whether a poll is not served: abandoned, or rejected because it has waited too long."""
+        poll, limit_us = queued.poll, self.scenario.queue_limit_us
+        if (poll.sidecar, poll.serial) in self._abandoned:
+            self._abandoned.discard((poll.sidecar, poll.serial))
+            return True
+        if queued.watched or limit_us is None or self.events.now_us - queued.since_us < limit_us:
+            return False
+        self.result.rejected += 1
+        self.on_rejection(poll)
+        return True
 
     def _serve(self) -> None:
         if self._rejection_work_us:  # these came in between, and are done first
             work_us, self._rejection_work_us = self._rejection_work_us, 0
             self.events.call_after(work_us, self._serve)
             return
-        poll = self._queue.popleft()
-        if self._queue:
-            self._begin()
-        if poll.after is None or poll.after < self.generation:
+        queued = self._queue.popleft()
+        poll = queued.poll
+        self._begin()
+        if queued.watched or poll.after is None or poll.after < self.generation:
             self.on_response(poll, self.generation)
             return
         self._watches[poll.sidecar, poll.serial] = poll
@@ -82,4 +110,4 @@
 
     def _end_watch(self, poll: SimulatedPoll) -> None:
         if self._watches.pop((poll.sidecar, poll.serial), None) is not None:
-            self.on_response(poll, self.generation)
+            self._push(poll, watched=True)
--- a/emulator/overloaded_discovery/sidecar.py
+++ b/emulator/overloaded_discovery/sidecar.py
@@ -4,14 +4,15 @@
 
 import random
 from collections.abc import Iterator
+from functools import partial
 from typing import NamedTuple, cast
 
 from corkdoor.balancer import Balancer
 from corkdoor.interface import Actions
 from corkdoor.model import Endpoint, Readiness, Timer, WatchEventKind
-from corkdoor.policy.discovery.watch_timeout import WatchTimeout
+from corkdoor.policy.discovery.answer_timeout import AnswerTimeout
+from corkdoor.policy.discovery.watch_timeout import POLL_MS, WatchTimeout
 from corkdoor.settings import Settings
-from corkdoor.sidecar.discovery.client import POLL_TIMEOUT_S, WATCH_GRACE_S
 from emulator.overloaded_discovery.event_queue import EventQueue
 from emulator.overloaded_discovery.scenario import (
     LATENCY_US,
@@ -19,7 +20,7 @@
     MOVED_AFTER_US,
     MS,
     NOTIFIED_AFTER_US,
-    S,
+    OLD_ADDRESS_US,
     SimulatedPoll,
 )
 from emulator.overloaded_discovery.service import OverloadedDiscovery
@@ -80,7 +81,11 @@
         self._needs_full_list = False  # since a move
         self._follows_response = False  # the next poll does
         self._watch_timeout = WatchTimeout()
+        self._answer_timeout = AnswerTimeout()
+        self._first_us = self._first_wait_us = self._second_us = 0
         self._serial = 0
+        self._open: list[int] = []  # serials of the polls that are out: a first one, and one beside it
+        self._at_old_address = False  # they are: a move came after
         self._watching = False
         self.balancer = Balancer(settings, seed, cast(Actions, self))
 
@@ -90,22 +95,24 @@
         self.balancer.on_watch_event(self.events.now_us, WatchEventKind.CACHED, [])
 
     def move(self) -> None:
-        """Reload with another address of the same discovery."""
-        self.watch_discovery(False)
+        """Reload with another address of the same discovery; the old one closes its connections."""
         self._needs_full_list, self.moved_us = True, self.events.now_us
+        if self._open and not self._at_old_address:
+            self._at_old_address = True
+            self.events.call_after(OLD_ADDRESS_US, partial(self._close_old_address, self._open[0]))
         self.balancer.on_discovery_address_changed(self.events.now_us)
 
     # --- the decision module's actions ---
 
     def watch_discovery(self, enabled: bool) -> None:
-        """Poll, or disconnect."""
-        if enabled and not self._watching:
-            self._watching = True
-            self._poll()
-        elif not enabled and self._watching:
+        """Poll, at the address in force, or disconnect."""
+        if self._watching and (not enabled or self._at_old_address):
             self._follows_response = self._watching = False
             self._watch_timeout.on_interruption(self.events.now_us)
             self._disconnect()
+        if enabled and not self._watching:
+            self._watching = True
+            self._poll()
 
     def start_timer(self, delay_us: int, timer: Timer) -> None:
         """Start the timer for polling; no other is set here."""
@@ -118,49 +125,98 @@
     # --- its polls ---
 
     def _disconnect(self) -> None:
-        number, serial = self.number, self._serial
-        self.events.call_after(LATENCY_US, lambda: self.discovery.disconnect(number, serial))
-        self._serial += 1
+        """Give up all polls that are out."""
+        for serial in self._open:
+            self.events.call_after(LATENCY_US, partial(self.discovery.disconnect, self.number, serial))
+        self._open.clear()
 
     def _poll(self) -> None:
+        """Poll; a second time beside the first where the answer is late."""
+        self._at_old_address = False
+        self._first_us = self.events.now_us
+        self._first_wait_us = self._watch_timeout.draw_ms(self.rng.random()) * MS
+        first = self._send_poll(self._first_wait_us)
+        wait_us = 0 if self._needs_full_list else self._first_wait_us
+        second_us = self._answer_timeout.second_call_us(self.events.now_us, wait_us)
+        self.events.call_after(second_us, lambda: self._begin_second_polls(first))
+
+    def _begin_second_polls(self, first: int) -> None:
+        if first in self._open and not self._at_old_address:
+            self._poll_beside(first)
+            self.events.call_after(self._answer_timeout.give_up_us(), lambda: self._give_up(first))
+
+    def _poll_beside(self, first: int) -> None:
+        if first not in self._open or self._at_old_address:
+            return
+        self._follows_response = False
+        self._second_us = self.events.now_us
+        second = self._send_poll(POLL_MS * MS)
+        timeout_us = self._answer_timeout.second_answer_us(self.events.now_us)
+        self.events.call_after(timeout_us, lambda: self._replace_second(first, second))
+
+    def _replace_second(self, first: int, second: int) -> None:
+        if second in self._open:
+            self._open.remove(second)
+            self.events.call_after(LATENCY_US, partial(self.discovery.disconnect, self.number, second))
+            self._poll_beside(first)
+
+    def _send_poll(self, wait_us: int) -> int:
         self._serial += 1
-        wait_us = self._watch_timeout.draw_ms(self.rng.random()) * MS
-        moved = self._needs_full_list
-        timeout_us = int(POLL_TIMEOUT_S * S) if moved else wait_us + int(WATCH_GRACE_S * S)
-        after = None if moved else self.generation
+        self._open.append(self._serial)
+        after = None if self._needs_full_list else self.generation
         now_us = self.events.now_us
         poll = SimulatedPoll(self.number, self._serial, after, wait_us, now_us, self._follows_response)
         self.events.call_after(LATENCY_US, lambda: self.discovery.receive(poll))
-        self.events.call_after(timeout_us, lambda: self._give_up(poll))
+        return self._serial
 
     def on_response(self, poll: SimulatedPoll, generation: int) -> None:
         """Apply a list, and poll anew."""
-        if poll.serial != self._serial:
+        if poll.serial not in self._open:
             return
-        self._serial += 1
         now_us = self.events.now_us
-        kind = WatchEventKind.FULL if self._needs_full_list else WatchEventKind.DELTA
-        self._needs_full_list, self.generation = False, generation
+        if poll.serial == self._open[0]:
+            self._answer_timeout.on_answer(now_us - self._first_us - self._first_wait_us)
+        else:
+            self._answer_timeout.on_second_answer(now_us, now_us - self._second_us)
+        self._open.remove(poll.serial)
+        self._disconnect()
         self._watch_timeout.on_answer()
         self._follows_response = True
+        self._needs_full_list = self._needs_full_list and self._at_old_address
+        self.generation = generation
         self.applied.append(AppliedList(now_us, generation))
         has_changed = poll.after is None or poll.after < generation
+        kind = WatchEventKind.FULL if poll.after is None else WatchEventKind.DELTA
         self.balancer.on_watch_event(now_us, kind, [ENTRY] if has_changed else [])
-        if self._watching:
+        if self._watching and not self._open:
             self._poll()
 
     def on_rejection(self, poll: SimulatedPoll) -> None:
-        """Take a rejected poll as a failure."""
-        if poll.serial == self._serial:
+        """Take a rejected poll as a failure; one beside another is sent again."""
+        if poll.serial not in self._open:
+            return
+        first = self._open[0]
+        if poll.serial == first:
+            self._answer_timeout.on_rejection(self.events.now_us, self.events.now_us - self._first_us)
+            self._disconnect()
             self._fail(WatchEventKind.REJECTED)
+            return
+        self._open.remove(poll.serial)
+        wait_us = self._answer_timeout.second_call_wait_us(True, self.rng.random())
+        self.events.call_after(wait_us, lambda: self._poll_beside(first))
 
-    def _give_up(self, poll: SimulatedPoll) -> None:
-        if poll.serial == self._serial:
+    def _give_up(self, first: int) -> None:
+        if first in self._open:
+            self._answer_timeout.on_given_up()
             self._disconnect()
             self._fail(WatchEventKind.LOST)
 
+    def _close_old_address(self, first: int) -> None:
+        if first in self._open and self._at_old_address:
+            self._disconnect()
+            self._fail(WatchEventKind.FAILED)
+
     def _fail(self, kind: WatchEventKind) -> None:
-        self._serial += 1
         self._watch_timeout.on_failure(self.events.now_us, kind)
         self._follows_response = self._watching = False
         self.balancer.on_watch_event(self.events.now_us, kind, [])
--- a/emulator/overloaded_discovery/simulation.py
+++ b/emulator/overloaded_discovery/simulation.py
@@ -22,6 +22,7 @@
 STARTS_WITHIN_US = 5 * S
 FIRST_CHANGE_US = 18 * S
 FIRST_MOVE_US = 20 * S
+MOVES_IN_A_ROW_US = 1 * S
 AFTER_LAST_CHANGE_US = 10 * S
 SEEDS_EACH = 10_000  # of each scenario's seed, for its sidecars
 
@@ -61,6 +62,7 @@
             for _ in range(scenario.moves):
                 delay_us = FIRST_MOVE_US + self.rng.randrange(scenario.moves_within_us)
                 self.events.call_after(delay_us, sidecar.move)
+            self._plan_moves(sidecar)
         at_us = FIRST_CHANGE_US
         while at_us < scenario.length_us - AFTER_LAST_CHANGE_US:
             self.events.call_after(at_us, self._change)
@@ -68,6 +70,17 @@
         self.events.run(started_us + scenario.length_us)
         return self._result()
 
+    def _plan_moves(self, sidecar: SimulatedSidecar) -> None:
+        """Move it again and again, up to the last change."""
+        scenario = self.scenario
+        if scenario.move_interval_us is None:
+            return
+        at_us = FIRST_MOVE_US + scenario.moves_within_us
+        while at_us < scenario.length_us - AFTER_LAST_CHANGE_US:
+            at_us += int(self.rng.expovariate(1 / scenario.move_interval_us))
+            for _ in range(scenario.moves):
+                self.events.call_after(at_us + self.rng.randrange(MOVES_IN_A_ROW_US), sidecar.move)
+
     def _change(self) -> None:
         self.changes_us.append(self.events.now_us)
         self.discovery.change()
--- a/tests/test_overloaded_discovery.py
+++ b/tests/test_overloaded_discovery.py
@@ -158,6 +158,44 @@
         assert result.late == 0, f"seed {seed}: {max(result.delays_us) / S:.1f} s"
 
 
+UNBOUNDED = 1_000_000  # polls that may wait
+
+
+def longest_late(scenarios: list[OverloadScenario]) -> str:
+    """Play them, and return how many changes were late and the longest delay; empty where none was late."""
+    results = [Simulation(scenario).play() for scenario in scenarios]
+    late = sum(result.late for result in results)
+    changes = sum(len(result.delays_us) for result in results)
+    longest_s = max(delay_us for result in results for delay_us in result.delays_us) / S
+    return f"{late} of {changes} late, longest {longest_s:.1f} s" if late else ""
+
+
+@pytest.mark.parametrize("skips_abandoned", [False, True])
+@pytest.mark.parametrize("queue_limit_s", [None])
+@pytest.mark.parametrize(("sidecars", "cost_ms"), [(4, 300), (7, 280), (30, 65)])
+def test_calls_that_wait_in_line_are_not_given_up(
+    sidecars: int, cost_ms: int, queue_limit_s: float | None, skips_abandoned: bool
+) -> None:
+    """Guards against calls that lose their place after 2 s, and are served for nobody."""
+    limit_us = None if queue_limit_s is None else int(queue_limit_s * S)
+    scenarios = [
+        OverloadScenario(
+            sidecars,
+            cost_ms * MS,
+            UNBOUNDED,
+            change_interval_us=change_interval_ms * MS,
+            moves_within_us=20 * S,
+            length_us=50 * S,
+            seed=seed,
+            queue_limit_us=limit_us,
+            skips_abandoned=skips_abandoned,
+        )
+        for seed in range(1, 4)
+        for change_interval_ms in (400, 4_000)
+    ]
+    assert longest_late(scenarios) == ""
+
+
 @pytest.mark.parametrize(("sidecars", "cost_ms"), [(4, 250), (7, 150)])
 def test_where_three_in_ten_answers_are_lost_few_changes_are_known_late(sidecars: int, cost_ms: int) -> None:
     """Guards against long watches after a lost answer, whose own loss is found only when they are over."""
