Spread the calls of sidecars that all wait for an overloaded discovery

Change: a change of address is called for at once again, but for a call that is out and keeps its place for 1.2 s; the call after a rest is a poll only where nothing else tells how busy discovery is; the mean wait grows from the sixth rejection in a row on, to 1.5 s.

--- a/corkdoor/interface.py
+++ b/corkdoor/interface.py
@@ -33,11 +33,12 @@
     def start_timer(self, delay_us: int, timer: Timer) -> None:
         """Call `on_timer` with this timer after the delay."""
 
-    def watch_discovery(self, enabled: bool) -> None:
+    def watch_discovery(self, enabled: bool, poll_first: bool = False) -> None:
         """Open a watch on the endpoint list, or close it.
 
-        The first call after a watch was closed, or at a new address, is a poll: it is answered at once. To
-        open a watch gives up a call that is still out at an older address.
+        Args:
+            enabled: whether to open one. That gives up a call that is still out at an older address.
+            poll_first: whether the first call is a poll, answered at once; at a new address it always is.
         """
 
     def close_idle_connections(self, endpoint_id: str) -> None:
--- a/corkdoor/policy/discovery/fair_turns.py
+++ b/corkdoor/policy/discovery/fair_turns.py
@@ -25,8 +25,8 @@
 FIRST_TURN_US = 300_000  # assumed until an answer shows what a turn takes
 MIN_TURN_US = 200_000
 MAX_TURN_US = 400_000
-MAX_MEAN_WAIT_US = 1_000_000
-USUAL_REJECTIONS = 12  # in a row; beyond that the mean wait grows in proportion
+MAX_MEAN_WAIT_US = 1_500_000
+USUAL_REJECTIONS = 6  # in a row; beyond that the mean wait grows in proportion
 MIN_WAIT_SHARE = 0.5  # of the mean wait; the jitter adds up to once the mean
 REST_US = 4_000_000  # of the 6 s within which an answer is due
 REST_LATENCIES = 4  # a rest takes at most so many times the time of a slow poll
@@ -58,6 +58,7 @@
         self._dense_answers = 0
         self._dense_answers_allowed = DENSE_ANSWERS
         self._probing = False  # the next poll tells whether discovery is slow
+        self._slow = False  # the overload shows in slow polls, and not in rejections
         self.configure(settings, limits)
 
     def configure(self, settings: Settings, limits: PollLimits) -> None:
@@ -84,7 +85,7 @@
         self._poll_us = spent_us
         probing, self._probing = self._probing, False
         if spent_us > SLOW_POLL_US or (probing and spent_us > FAST_POLL_US):
-            self._record_overload(REST_LATENCIES * spent_us)
+            self._record_overload(REST_LATENCIES * spent_us, slow=True)
             self._dense_answers_allowed = DENSE_ANSWERS
         elif probing:
             self._dense_answers_allowed = min(2 * self._dense_answers_allowed, MAX_DENSE_ANSWERS)
@@ -103,7 +104,7 @@
         """
         queue_full = kind is WatchEventKind.REJECTED and spent_us < REJECTED_AT_ONCE_US
         if queue_full:
-            self._record_overload(REST_US)
+            self._record_overload(REST_US, slow=False)
         return queue_full
 
     def wait_us(self, spent_us: int, slack_us: int, jitter: float) -> int:
@@ -144,7 +145,16 @@
         self._probing = True
         return min(self.rest_us, PROBE_REST_US)
 
-    def _record_overload(self, rest_us: int) -> None:
+    @property
+    def wants_poll(self) -> bool:
+        """Whether the call after a rest is to tell how busy discovery is.
+
+        While discovery rejects calls that is known, and a watch costs it less than a poll and a watch.
+        """
+        return self._probing or self._slow or self._calm_answers >= CALM_ANSWERS
+
+    def _record_overload(self, rest_us: int, slow: bool) -> None:
         self._overload_rest_us = max(self._overload_rest_us, rest_us) if self.overloaded else rest_us
         self.overloaded = True
+        self._slow = slow
         self._calm_answers = 0
--- a/corkdoor/policy/discovery/polling.py
+++ b/corkdoor/policy/discovery/polling.py
@@ -63,11 +63,12 @@
 
     def poll(self, now_us: int) -> None:
         """Start a call; one that is still out at an older address is given up."""
-        # The host polls once where a watch was interrupted, and before it watches at a new address.
-        self.call_is_poll = self.state in (PollState.RESTING, PollState.SETTLING)
+        poll_first = self.state is PollState.RESTING and self.turns.wants_poll
+        at_new_address = self.state is PollState.SETTLING
+        self.call_is_poll = poll_first or at_new_address
         self._enter(PollState.CALLING, None)
         self.call_began_us = now_us
-        self.actions.watch_discovery(True)
+        self.actions.watch_discovery(True, poll_first)
 
     def on_timer(self, now_us: int) -> None:
         """Start the next call where it is due; timers that were overtaken do nothing."""
@@ -131,7 +132,7 @@
         if self.state is PollState.SETTLING and self.next_poll_us is not None:
             return max(wait_us, self.next_poll_us - now_us)
         keep_us = KEEP_PLACE_US if calling and self.turns.yielding else 0
-        return max(wait_us, keep_us, self.turns.yield_us(self.freshness.answer_due_us() - now_us))
+        return max(wait_us, keep_us)
 
     def _learn_from_list(self, spent_us: int) -> None:
         if self.freshness.watch_open:
--- a/corkdoor/policy/discovery/watch_timeout.py
+++ b/corkdoor/policy/discovery/watch_timeout.py
@@ -3,8 +3,7 @@
 Inputs: what became of the calls, and jitter. Returns the wait of the next watch in milliseconds. Discovery
 serves its calls in turn, so they should be few: each answer doubles the wait. A watch whose answer is lost
 is found out only once its wait is over, so the wait is short after a failure, and shorter while answers get
-lost. A call that does not continue a watch is a poll, answered at once: how long that takes tells how busy
-discovery is.
+lost. A poll is answered at once: how long that takes tells how busy discovery is.
 """
 
 from __future__ import annotations
@@ -40,13 +39,18 @@
         """Lengthen the wait after an answer."""
         self._wait_ms = max(FIRST_MS, min(2 * self._wait_ms, MAX_MS))
 
+    def on_start(self, poll_first: bool) -> None:
+        """Let the next call be a poll, where that is asked for."""
+        if poll_first:
+            self._wait_ms = POLL_MS
+
     def on_failure(self, now_us: int, kind: WatchEventKind) -> None:
         """Shorten the wait after a failed call."""
         if kind is WatchEventKind.LOST:
             self._lossy_until_us = now_us + LOSSY_PERIOD_US
+        self.on_interruption(now_us)
+
+    def on_interruption(self, now_us: int) -> None:
+        """Shorten the wait where the next watch does not continue the last: changes may have been missed."""
         lossy = self._lossy_until_us is not None and now_us < self._lossy_until_us
         self._wait_ms = LOSSY_MS if lossy else FIRST_MS
-
-    def on_interruption(self) -> None:
-        """Let the next call be a poll: it does not continue the last watch, and may bring what was missed."""
-        self._wait_ms = POLL_MS
--- a/corkdoor/sidecar/discovery/watcher.py
+++ b/corkdoor/sidecar/discovery/watcher.py
@@ -89,14 +89,18 @@
         """Discovery's port."""
         return (self._next_client or self._client).port
 
-    def start(self) -> None:
+    def start(self, poll_first: bool = False) -> None:
         """Call discovery, and watch it from its answer on.
 
         Does nothing while it runs at the address in force; a call that is out at an older one is given up.
+
+        Args:
+            poll_first: whether the first call is a poll, answered at once.
         """
         if self._next_client is not None:
             self.stop()
         if self.state is WatcherState.STOPPED:
+            self.timeout.on_start(poll_first)
             self._enter(WatcherState.CALLING)
             self._task = asyncio.get_running_loop().create_task(self._run())
 
@@ -108,7 +112,7 @@
             self._enter(WatcherState.STOPPED)
             self._client.close()
             self._client = DiscoveryClient(self._client.host, self._client.port)  # the old call ends later
-            self.timeout.on_interruption()
+            self.timeout.on_interruption(now_us())
 
     def change_address(self, host: str, port: int) -> None:
         """Make the next call at another address; one that is out is waited for until then.
--- a/corkdoor/sidecar/proxy.py
+++ b/corkdoor/sidecar/proxy.py
@@ -183,10 +183,10 @@
         """Notify the balancer once the delay is over."""
         Alarm(now_us() + delay_us, partial(notify, self.balancer.on_timer, timer))
 
-    def watch_discovery(self, enabled: bool) -> None:
+    def watch_discovery(self, enabled: bool, poll_first: bool = False) -> None:
         """Open a watch on the endpoint list, or close it."""
         if enabled:
-            self.watcher.start()
+            self.watcher.start(poll_first)
         else:
             self.watcher.stop()
 
--- a/corkdoor/simulator/writer.py
+++ b/corkdoor/simulator/writer.py
@@ -43,8 +43,9 @@
         """Start a timer."""
         self.lines.append(f"timer {self.instance} {delay_us} {timer.value}")
 
-    def watch_discovery(self, enabled: bool) -> None:
+    def watch_discovery(self, enabled: bool, poll_first: bool = False) -> None:
         """Open or close the watch on the endpoint list."""
+        del poll_first  # the wire has one form for both
         self.lines.append(f"tail {self.instance} {int(enabled)}")
 
     def close_idle_connections(self, endpoint_id: str) -> None:
--- a/emulator/overloaded_discovery/sidecar.py
+++ b/emulator/overloaded_discovery/sidecar.py
@@ -104,14 +104,15 @@
 
     # --- the decision module's actions ---
 
-    def watch_discovery(self, enabled: bool) -> None:
+    def watch_discovery(self, enabled: bool, poll_first: bool = False) -> None:
         """Poll, at the address in force, or disconnect."""
         if self._watching and (not enabled or self._at_old_address):
             self._follows_response = self._watching = False
-            self._watch_timeout.on_interruption()
+            self._watch_timeout.on_interruption(self.events.now_us)
             self._disconnect()
         if enabled and not self._watching:
             self._watching = True
+            self._watch_timeout.on_start(poll_first)
             self._poll()
 
     def start_timer(self, delay_us: int, timer: Timer) -> None:
--- a/emulator/slopes/decision_bench.py
+++ b/emulator/slopes/decision_bench.py
@@ -48,7 +48,7 @@
     def start_timer(self, delay_us: int, timer: Timer) -> None:
         """Do nothing."""
 
-    def watch_discovery(self, enabled: bool) -> None:
+    def watch_discovery(self, enabled: bool, poll_first: bool = False) -> None:
         """Do nothing."""
 
     def close_idle_connections(self, endpoint_id: str) -> None:
