Let a warming endpoint's budget follow what its pool sends, also where that is little

Cause: slow start assumed at least 7 requests a second for each endpoint, from all instances, for good. The figure was meant for a pool that has sent nothing yet; it is the start of the limit on requests in flight, used as a rate. An endpoint that serves 2 a second got budget for three times that.

Change: 7 requests a second until the pool has sent anything, 1 from then on, under names of their own.

--- a/corkdoor/policy/slow_start.py
+++ b/corkdoor/policy/slow_start.py
@@ -9,13 +9,16 @@
 
 import random
 
-from corkdoor.policy.concurrency_limit import START_PER_ENDPOINT
 from corkdoor.policy.endpoint_pool import EndpointPool
 from corkdoor.policy.endpoint_state import EndpointState
 from corkdoor.settings import Settings
 
 OVERLOAD_USE = 0.5  # the share used of the overload that a warming endpoint bears, by all instances together
 MAX_TOKENS = 1.0
+FIRST_RATE_PER_S = 7.0  # what all instances send an endpoint, assumed until the pool has sent anything
+MIN_RATE_PER_S = (
+    1.0  # likewise, where the pool has hardly sent anything: an endpoint must get some to warm up
+)
 
 
 class SlowStart:
@@ -48,8 +51,9 @@
         if endpoint.slow_start_tokens is None:
             endpoint.slow_start_tokens = self._random.random()  # all instances learn of the start at once
         else:
-            min_rate_per_s = START_PER_ENDPOINT / self._instance_count  # before the pool has a rate
-            peer_rate_per_s = max(pool.sent_per_s / len(pool.subset.members), min_rate_per_s)
+            least_per_s = MIN_RATE_PER_S if pool.sent_per_s else FIRST_RATE_PER_S
+            sent_per_s = pool.sent_per_s / len(pool.subset.members)
+            peer_rate_per_s = max(sent_per_s, least_per_s / self._instance_count)
             rate_per_s = peer_rate_per_s * min(
                 1.0, OVERLOAD_USE * self._rules.overload_factor * capacity_share
             )
--- a/tests/test_slow_start_sum.py
+++ b/tests/test_slow_start_sum.py
@@ -31,6 +31,17 @@
 EVENT_US = START_US + 4 * S  # when endpoints join, or return
 END_US = EVENT_US + RULES.slow_start_us
 ZONE_DOWN_US = int(1.5 * S)
+LARGE_BUDGET = 30.0  # requests
+
+
+def usual_chance(budget: float) -> float:
+    """The rule from 30 requests on."""
+    return 2 * math.sqrt(budget) + 2
+
+
+def chance_by_rule(budget: float) -> float:
+    """The rule for a budget of any size."""
+    return usual_chance(budget) if budget >= LARGE_BUDGET else 3 * math.sqrt(budget) + 3
 
 
 class ScheduledEvent(NamedTuple):
@@ -79,7 +90,7 @@
         world = self.world
         while self.queued and self.busy < SLOTS:
             self.busy += 1
-            service_us = SLOTS / CAPACITY_PER_S / self.capacity_share(world.now_us) * S
+            service_us = SLOTS / world.capacity_per_s / self.capacity_share(world.now_us) * S
             world.schedule(int(service_us), partial(self._finish, self.queued.popleft()))
 
     def _finish(self, end: Callable[[Outcome], None]) -> None:
@@ -93,8 +104,12 @@
         self.received_us = []
         self.entry = self.entry._replace(started_us=self.world.now_us, readiness=Readiness.READY)
 
-    def max_budget_use(self) -> float:
-        """Return the most that it got in any window while it warmed up, over what it may get then."""
+    def max_budget_use(self, chance: Callable[[float], float]) -> float:
+        """Return the most that it got in any window while it warmed up, over what it may get then.
+
+        Args:
+            chance: returns how many requests beyond a budget are put down to chance.
+        """
         first, most = 0, 0.0
         for last, at_us in enumerate(self.received_us):
             while self.received_us[first] <= at_us - WINDOW_US:
@@ -102,9 +117,9 @@
             # The capacity that it had as the window began: the least in it.
             began_us = max(self.received_us[first], self.entry.started_us or 0)
             if self.capacity_share(began_us) < 1.0:
-                capacity = CAPACITY_PER_S * self.capacity_share(began_us) * WINDOW_US / S
+                capacity = self.world.capacity_per_s * self.capacity_share(began_us) * WINDOW_US / S
                 budget = self.world.overload_factor * capacity
-                most = max(most, (last - first + 1) / (budget + 2 * math.sqrt(budget) + 2))
+                most = max(most, (last - first + 1) / (budget + chance(budget)))
         return most
 
 
@@ -163,8 +178,11 @@
 class World:
     """Endpoints, instances and arrivals on one simulated clock."""
 
-    def __init__(self, seed: int, overload_factor: float, stated_instances: int) -> None:
+    def __init__(
+        self, seed: int, overload_factor: float, stated_instances: int, capacity_per_s: float = CAPACITY_PER_S
+    ) -> None:
         self.now_us = START_US
+        self.capacity_per_s = capacity_per_s
         self.overload_factor = overload_factor
         self.random = random.Random(seed)
         self.events: list[ScheduledEvent] = []
@@ -178,7 +196,7 @@
         self.instances = self._create_instances(seed, entries, stated_instances)
         # Some instances get several times the mean.
         weights = [self.random.lognormvariate(0.0, 0.7) for _ in self.instances]
-        mean_per_s = LOAD * CAPACITY_PER_S * ENDPOINTS / sum(weights)
+        mean_per_s = LOAD * capacity_per_s * ENDPOINTS / sum(weights)
         for instance, weight in zip(self.instances, weights, strict=True):
             self._schedule_arrival(instance, mean_per_s * weight * BURST)
 
@@ -270,7 +288,7 @@
 def max_budget_use(scenario: Scenario, overload_factor: float, stated_instances: int, seed: int) -> float:
     """Play a scenario; return the most of its budget that any warming endpoint got."""
     warming = scenario(World(seed, overload_factor, stated_instances))
-    return max(endpoint.max_budget_use() for endpoint in warming)
+    return max(endpoint.max_budget_use(usual_chance) for endpoint in warming)
 
 
 @pytest.mark.parametrize(("stated_instances", "seed"), STATED_INSTANCES)
@@ -283,6 +301,18 @@
     assert max_budget_use(scenario, overload_factor, stated_instances, seed) <= 1.0
 
 
+@pytest.mark.parametrize(
+    ("capacity_per_s", "stated_instances", "seed"),
+    [(0.5, INSTANCES, 38), (2.0, INSTANCES * 2 // 3, 5), (2.0, INSTANCES, 0), (4.0, INSTANCES * 2 // 3, 21)],
+)
+def test_all_instances_together_keep_to_a_budget_of_one_to_three_requests(
+    capacity_per_s: float, stated_instances: int, seed: int
+) -> None:
+    """Guards against a rate assumed for pools that send little, which is more than their endpoints bear."""
+    warming = restart_zone(World(seed, 1.2, stated_instances, capacity_per_s))
+    assert max(endpoint.max_budget_use(chance_by_rule) for endpoint in warming) <= 1.0
+
+
 @pytest.mark.parametrize("scenario", [replace_endpoints, restart_zone])
 def test_without_slow_start_the_budget_breaks(scenario: Scenario, monkeypatch: pytest.MonkeyPatch) -> None:
     """The traffic is such that it could: what keeps the sum within the budget is slow start."""
