--- a/faults/clients.py
+++ b/faults/clients.py
@@ -18,6 +18,8 @@
 CONNECT_S = 2.0
 NO_TARGET_S = 0.05  # the pause where no sidecar accepts clients
 PIPELINED_REQUESTS = (2, 9)  # from the first, below the second
+LEFT_REQUESTS = 40  # served in turn they take far longer than a client that has left may be served
+LEAVES_AFTER_S = 0.05
 SLOW_PIECE_BYTES = 20
 SLOW_PIECE_S = 0.005
 CLOSE_WITHIN_S = 0.2
@@ -33,6 +35,7 @@
     PIPELINES = "sends several requests at once"
     SLOW = "writes slowly"
     STALLS = "stops within a request"
+    LEAVES_MANY = "sends many requests at once and leaves"
 
 
 BEHAVIOURS = (ClientBehaviour.GOOD,) * 14 + (
@@ -41,6 +44,7 @@
     ClientBehaviour.PIPELINES,
     ClientBehaviour.SLOW,
     ClientBehaviour.STALLS,
+    ClientBehaviour.LEAVES_MANY,
 )
 
 
@@ -86,6 +90,8 @@
             behaviour = self.rng.choice(BEHAVIOURS)
             if behaviour is ClientBehaviour.STALLS:
                 await self._stall()
+            elif behaviour is ClientBehaviour.LEAVES_MANY:
+                await self._leave_many()
             else:
                 await self._request(behaviour)
         self._close()
@@ -170,13 +176,34 @@
         await self.writer.drain()
 
     async def _close_early(self, record: RequestRecord) -> None:
-        assert self.writer is not None
         await asyncio.sleep(self.rng.random() * min(CLOSE_WITHIN_S, record.deadline_s))
-        record.closed_s = asyncio.get_running_loop().time()
+        self._leave([record])
+
+    def _leave(self, records: list[RequestRecord]) -> None:
+        assert self.writer is not None
+        for record in records:
+            record.closed_s = asyncio.get_running_loop().time()
         if self.rng.random() < RESET_SHARE:
             reset(self.writer)
         self._close()
 
+    async def _leave_many(self) -> None:
+        """Send many requests at once and close while most of them wait behind the first."""
+        assert self.writer is not None
+        requests = [self._draw_request() for _ in range(LEFT_REQUESTS)]
+        records = [request.record for request in requests]
+        for record in records:
+            self.oracle.sent(record)
+        try:
+            await self._send(
+                b"".join(request.data for request in requests), ClientBehaviour.LEAVES_MANY, records
+            )
+            await asyncio.sleep(LEAVES_AFTER_S)
+        except (OSError, RuntimeError):
+            pass  # the sidecar has closed before
+        self._leave(records)
+        self.oracle.counts["left with many requests"] += 1
+
     # --- responses ---
 
     async def _read_responses(self, records: list[RequestRecord]) -> None:
--- a/faults/discovery.py
+++ b/faults/discovery.py
@@ -16,6 +16,7 @@
 from testbed.loopback_server import LoopbackServer
 
 ADDRESSES = 3  # that lead to the same lists; a reload may name another one
+OLD_ADDRESS_S = 1.5  # after which an address that a reload has left closes its connections
 DISCONNECT_CHECK_S = 0.02  # how often it is checked whether a sidecar that waits has hung up
 PIECE_INTERVAL_S = 0.005  # between two pieces of a response
 PIECES = 4  # that a response is written in, where it is not written in one go
@@ -70,6 +71,7 @@
         self.rejected = 0
         self._changed = asyncio.Event()
         self._servers: list[LoopbackServer] = []
+        self._addresses: dict[str, list[LoopbackServer]] = {}  # by sidecar
         self._idle_at_s = 0.0  # loop time at which all accepted work is done
         self._accepted = 0  # polls that wait for their turn or have it
 
@@ -83,12 +85,19 @@
         for server in servers:
             await server.start()
         self._servers += servers
+        self._addresses[sidecar] = servers
         return [server.port for server in servers]
 
     async def stop(self) -> None:
         """Stop listening and end all connections."""
         await asyncio.gather(*(server.stop() for server in self._servers))
 
+    def leave_address(self, sidecar: str, index: int) -> None:
+        """Close the connections to an address that a reload leaves now, a while after that."""
+        server = self._addresses[sidecar][index]
+        left = server.connections()
+        asyncio.get_running_loop().call_later(OLD_ADDRESS_S, server.reset_those, left)
+
     # --- the list ---
 
     def endpoint_list(self) -> dict[str, object]:
@@ -166,6 +175,10 @@
             self._idle_at_s += self.profile.rejection_cost_share * self.profile.cost_s
             writer.write(REJECTION)
             return True
+        if await self._waits_too_long():
+            self.rejected += 1
+            writer.write(REJECTION)
+            return True
         await self._take_turn()
         after = received.poll.after
         if after is not None and after >= self.generation:
@@ -173,6 +186,14 @@
             await self._take_turn()
         return await self._write_list(received, writer)
 
+    async def _waits_too_long(self) -> bool:
+        """Return whether the queue is longer than a poll may wait, after it has waited so long."""
+        limit_s = self.profile.queue_limit_s
+        if limit_s is None or self._idle_at_s - asyncio.get_running_loop().time() <= limit_s:
+            return False
+        await asyncio.sleep(limit_s)
+        return True
+
     async def _await_change(self, wait_s: float) -> None:
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._changed.wait(), wait_s)
--- a/faults/plan.py
+++ b/faults/plan.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Any
 
@@ -18,6 +18,9 @@
 IN_PIECES_SHARE = 0.5
 OMITS_DRAINING_SHARE = 0.5
 IDLE_CLIENTS_SHARE = 0.35
+OVERLOADED_SHARE = 0.4  # of the seeds whose lists are polled for
+ROUNDS_S = (1.0, 1.5, 2.0)  # that an overloaded discovery needs for one call of every sidecar
+QUEUE_LIMIT_S = 2.5
 OVERLOADED_ENDPOINTS = 5
 
 
@@ -79,6 +82,7 @@
     cost_s: float = 0.0  # of each poll and of each response to a watch, one after another
     rejection_cost_share: float = 0.05  # of that cost, that rejecting a poll costs
     capacity: int = 1_000  # polls that may wait for their turn; more are rejected at once
+    queue_limit_s: float | None = None  # a poll that would wait for longer is rejected after so long
     lost_share: float = 0.0  # of responses: kept back, truncated or broken off
     in_pieces: bool = False  # responses are written in small pieces
     full_list_share: float = 0.0  # of responses that could be changes alone, those that are the full list
@@ -175,7 +179,7 @@
         full_list_share=rng.choice((0.0, 0.3)),
         omits_draining=rng.random() < OMITS_DRAINING_SHARE,
     )
-    return Plan(
+    plan = Plan(
         seed,
         sidecars,
         endpoints,
@@ -188,6 +192,21 @@
         discovery=discovery,
         faults=(*FAULTS, Fault.EXHAUST_DESCRIPTORS) if rng.random() < IDLE_CLIENTS_SHARE else FAULTS,
     )
+    # Drawn last, so that the other settings of a seed stay as they were.
+    if not pushed and rng.random() < OVERLOADED_SHARE:
+        return replace(plan, discovery=_draw_overloaded(rng, sidecars, discovery))
+    return plan
+
+
+def _draw_overloaded(rng: random.Random, sidecars: int, discovery: DiscoveryProfile) -> DiscoveryProfile:
+    """Return a discovery that is kept busy by its sidecars, with a short queue, a long one or a line."""
+    return replace(
+        discovery,
+        cost_s=rng.choice(ROUNDS_S) / sidecars,
+        capacity=rng.choice((0, 1, 2, sidecars - 1, 1_000)),
+        queue_limit_s=rng.choice((None, QUEUE_LIMIT_S)),
+        lost_share=0.0,
+    )
 
 
 def overloaded_plan(seed: int, sidecars: int, seconds: float, discovery: DiscoveryProfile) -> Plan:
--- a/faults/sidecar_process.py
+++ b/faults/sidecar_process.py
@@ -69,11 +69,12 @@
 
     def move_discovery(self, index: int) -> None:
         """Reload with the discovery address of that index."""
-        moves, self.discovery_index = index != self.discovery_index, index
+        left, self.discovery_index = self.discovery_index, index
         self.write_config()
         self.send_signal(signal.SIGHUP)
-        if moves:
+        if left != index:
             self.context.notifications.moved(self.target.name, asyncio.get_running_loop().time())
+            self.context.discovery.leave_address(self.target.name, left)
 
     # --- start ---
 
--- a/testbed/loopback_server.py
+++ b/testbed/loopback_server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 from testbed.http_messages import reset
@@ -44,8 +44,17 @@
 
     def reset_connections(self) -> None:
         """Reset all connections; new ones are accepted."""
-        for writer in list(self._connections):
-            reset(writer)
+        self.reset_those(self.connections())
+
+    def connections(self) -> list[asyncio.StreamWriter]:
+        """Return the connections that are open."""
+        return list(self._connections)
+
+    def reset_those(self, connections: Iterable[asyncio.StreamWriter]) -> None:
+        """Reset these connections, as far as they are still open."""
+        for writer in connections:
+            if writer in self._connections:
+                reset(writer)
 
     async def stop(self) -> None:
         """Stop listening, reset all connections and wait for their handlers."""
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -238,6 +238,15 @@
     assert soak.oracle.violations == [], soak.report()
     assert soak.oracle.counts["answered 200"] > 200
     assert soak.injector.injected.total() > 20
+    assert soak.oracle.counts["left with many requests"] > 10
+
+
+def test_plans_draw_overloaded_discoveries_of_every_form() -> None:
+    plans = [draw_plan(seed, sidecars=10, endpoints=5, seconds=25.0) for seed in range(60)]
+    overloaded = [plan.discovery for plan in plans if 10 * plan.discovery.cost_s >= 1.0]
+    assert len(overloaded) > 10
+    assert {profile.capacity for profile in overloaded} == {0, 1, 2, 9, 1_000}
+    assert {profile.queue_limit_s for profile in overloaded} == {None, 2.5}
 
 
 def test_moves_and_drains_at_an_overloaded_discovery(tmp_path: Path) -> None:
