Rest at an overloaded discovery while changes are dense, and else only after a rejection

Change: a list with changes that comes within 6 s of the last one counts as dense; only then is each answer followed by a rest.

--- a/corkdoor/policy/discovery/fair_turns.py
+++ b/corkdoor/policy/discovery/fair_turns.py
@@ -4,10 +4,11 @@
 waits in microseconds. Discovery is overloaded where it rejects calls at once because its queue is full, or
 takes long to answer a poll. Whoever calls just as the queue has room is served, so instances that poll at one
 rate are served by chance and some not for very long; and whoever watches is served at each change, ahead of
-those that have to poll. So while discovery is overloaded every instance rests after an answer, always for the
-same time: once all are served they find the same gaps again in the next round. Those that have waited longest
-poll about once in the time that a turn takes. Polling more often would keep discovery busy with rejections
-alone.
+those that have to poll. So while discovery is overloaded and changes are dense every instance rests after an
+answer, always for the same time: once all are served they find the same gaps again in the next round. Where
+changes are rare a watch costs little, and an instance rests only if it was rejected since its last rest.
+Those that have waited longest poll about once in the time that a turn takes. Polling more often would keep
+discovery busy with rejections alone.
 
 An instance whose watch is answered again and again is never rejected, and can't tell a slow discovery from
 many changes. It rests once for a moment: the time that the poll after that takes does tell.
@@ -25,10 +26,11 @@
 FIRST_TURN_US = 300_000  # assumed until an answer shows what a turn takes
 MIN_TURN_US = 200_000
 MAX_TURN_US = 400_000
-MAX_MEAN_WAIT_US = 1_500_000
-USUAL_REJECTIONS = 6  # in a row; beyond that the mean wait grows in proportion
+MAX_MEAN_WAIT_US = 1_000_000
+USUAL_REJECTIONS = 12  # in a row; beyond that the mean wait grows in proportion
 MIN_WAIT_SHARE = 0.5  # of the mean wait; the jitter adds up to once the mean
 REST_US = 4_000_000  # of the 6 s within which an answer is due
+DENSE_CHANGES_US = 6_000_000  # between two lists with changes; a watch that follows is soon answered again
 REST_LATENCIES = 4  # a rest takes at most so many times the time of a slow poll
 POLL_INTERVAL_PARTS = 2  # and at most this fraction of the poll interval
 CALM_ANSWERS = 3  # in a row, after which a rest is shorter, or discovery overloaded no more
@@ -53,6 +55,9 @@
         self.overloaded = False
         self.rejections = 0
         self._calm_answers = 0
+        self._rejected = False  # at once, since the last rest
+        self._last_change_us: int | None = None
+        self._changes_dense = False
         self._overload_rest_us = 0  # the rest that the overload asks for
         self._poll_us = 0  # what the last poll took
         self._dense_answers = 0
@@ -90,6 +95,11 @@
         elif probing:
             self._dense_answers_allowed = min(2 * self._dense_answers_allowed, MAX_DENSE_ANSWERS)
 
+    def record_change(self, now_us: int) -> None:
+        """Take note of a list with changes, at this time in microseconds."""
+        last_us, self._last_change_us = self._last_change_us, now_us
+        self._changes_dense = last_us is not None and now_us - last_us < DENSE_CHANGES_US
+
     def record_watch(self, spent_us: int) -> None:
         """Take note of how long a watch took to bring a change, in microseconds."""
         dense = FAST_POLL_US < spent_us < DENSE_ANSWER_US
@@ -104,6 +114,7 @@
         """
         queue_full = kind is WatchEventKind.REJECTED and spent_us < REJECTED_AT_ONCE_US
         if queue_full:
+            self._rejected = True
             self._record_overload(REST_US, slow=False)
         return queue_full
 
@@ -132,6 +143,9 @@
         """Return how long the watch rests after an answer, in microseconds; 0: it goes on at once."""
         if not self.overloaded:
             return self._probe_rest_us()
+        rejected, self._rejected = self._rejected, False
+        if not self._changes_dense:  # a watch costs discovery nothing until the next change
+            return self.rest_us if rejected else 0
         self._calm_answers += 1
         if self._calm_answers > CALM_ANSWERS:
             self._overload_rest_us = REST_LATENCIES * self._poll_us
--- a/corkdoor/policy/discovery/polling.py
+++ b/corkdoor/policy/discovery/polling.py
@@ -11,7 +11,7 @@
 from corkdoor.interface import Actions
 from corkdoor.model import Timer, WatchEventKind
 from corkdoor.policy.discovery.address_debounce import AddressDebounce
-from corkdoor.policy.discovery.failure_backoff import FailureBackoff
+from corkdoor.policy.discovery.failure_backoff import BackoffPhase, FailureBackoff
 from corkdoor.policy.discovery.fair_turns import FairTurns
 from corkdoor.policy.discovery.immediate_retry import ImmediateRetry
 from corkdoor.policy.discovery.list_freshness import ListFreshness
@@ -96,7 +96,7 @@
         if self.call_is_poll:
             self.turns.record_poll(spent_us)
         if not empty:
-            self._learn_from_list(spent_us)
+            self._learn_from_list(now_us, spent_us)
         self.call_is_poll = False
         self.call_began_us = now_us  # of the watch that follows
         self._reset_retries()
@@ -134,7 +134,9 @@
         keep_us = KEEP_PLACE_US if calling and self.turns.yielding else 0
         return max(wait_us, keep_us)
 
-    def _learn_from_list(self, spent_us: int) -> None:
+    def _learn_from_list(self, now_us: int, spent_us: int) -> None:
+        if self.backoff.phase is not BackoffPhase.NEW_ADDRESS:  # there the list is complete, changed or not
+            self.turns.record_change(now_us)
         if self.freshness.watch_open:
             self.turns.record_watch(spent_us)
         else:
