Close the connection of a second discovery answer that comes with the first

What callers would have seen: nothing at once; each time both calls were answered in one turn of the loop a connection to discovery stayed open, with its descriptor, until discovery closed it.

Cause: HedgedCall takes one of two answers, and only a call that had not ended closed its connection.

--- a/corkdoor/sidecar/discovery/hedged_call.py
+++ b/corkdoor/sidecar/discovery/hedged_call.py
@@ -44,6 +44,7 @@
         self._timeout = timeout
         self._connect_timeout_s = connect_timeout_s
         self._second_began_us = 0
+        self._taken: Answer | None = None  # of the calls beside the first
 
     async def run(self, request: DiscoveryRequest, second_request: DiscoveryRequest) -> Answer:
         """Return the first answer to either.
@@ -74,6 +75,7 @@
             raise AnswerTimeoutError((now_us() - began_us) / US_PER_S)
         finally:
             await _cancel(first, second)
+            self._close_unused(second)
 
     def _take_first(self, first: asyncio.Future[EndpointList], began_us: int, wait_us: int) -> Answer:
         spent_us = now_us() - began_us
@@ -86,10 +88,19 @@
         return answer
 
     def _take_second(self, answer: Answer) -> Answer:
+        self._taken = answer
         self._timeout.on_second_answer(now_us(), now_us() - self._second_began_us)
         self._client.close()
         return answer
 
+    def _close_unused(self, second: asyncio.Future[Answer] | None) -> None:
+        """Close the connection of a second answer that nobody took: the first came as well, or this ended."""
+        if second is None or second.cancelled() or second.exception() is not None:
+            return
+        answer = second.result()
+        if answer is not self._taken:
+            answer.client.close()
+
     async def _call_beside(self, request: DiscoveryRequest) -> Answer:
         """Call on a connection of its own, again and again, until a call is answered."""
         while True:
--- a/tests/test_late_discovery_answers.py
+++ b/tests/test_late_discovery_answers.py
@@ -59,6 +59,16 @@
         assert list(sidecar.proxy.upstream.pools) == ["s-0"]
 
 
+async def test_of_two_answers_at_once_one_is_taken_and_the_connection_of_the_other_ends() -> None:
+    async with Sidecar(endpoints=2) as sidecar:
+        calls = await first_and_second_call(sidecar)
+        for call in calls:
+            call.reply(200, drained(sidecar, 2))
+        kept = (await sidecar.discovery.next_request()).connection
+        assert {kept, await sidecar.discovery.ends.get()} == {call.connection for call in calls}
+        assert sidecar.discovery.ends.empty()
+
+
 async def test_a_second_call_that_is_rejected_is_made_again_and_the_first_still_counts() -> None:
     async with Sidecar(endpoints=2) as sidecar:
         first, second = await first_and_second_call(sidecar)
