--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -13,8 +13,8 @@
 `seed` is `none` for a test that draws nothing. CI leaves exactly these tests out of the suite and runs each
 of them apart. It fails where the list is malformed or too long, where a listed test does not exist, and where
 one that fails `always` passes: then it has to come off the list. One that fails `sometimes`, for a fault that
-shows in some runs only, may pass, or CI's verdict would be random; how it ended is printed. What was seen of it
-states how many of how many plays failed, as in `4 of 8 plays`, for a long run by hand to be compared with.
+shows in some runs only, may pass, or CI's verdict would be random; how it ended is printed. Its `seen` states
+how many of how many plays failed, as in `4 of 8 plays`, for a long run by hand to be compared with.
 
 Usage: `known_red.py options` prints pytest's options that leave the listed tests out; `known_red.py check`
 runs them. Both exit with 1 and one line on standard error where the list is not acceptable.
