Try to listen again where descriptors or memory are short for a moment

Cause: the listener was made with one try, and any error ended the process.

Excluded: a port taken by another soak (that error is another one).

Nothing else runs yet that the wait could delay.

Result: the new tests failed for each of the four errors before, and pass.

--- a/corkdoor/sidecar/transport/acceptor.py
+++ b/corkdoor/sidecar/transport/acceptor.py
@@ -6,16 +6,18 @@
 import logging
 import os
 import socket
+import time
 from collections.abc import Callable
 
 from corkdoor.log_events import LogEvent
-from corkdoor.sidecar.transport.errors import RESOURCE_SHORTAGE
+from corkdoor.sidecar.transport.errors import RESOURCE_SHORTAGE, RETRY_S
 from corkdoor.sidecar.transport.readiness_watch import ReadinessWatch
 from corkdoor.sidecar.transport.socket_poller import INPUT, SocketPoller
 from corkdoor.sidecar.transport.states import LISTENER_TRANSITIONS, ListenerState
 from corkdoor.sidecar.transport.stream import StreamTransport
 from corkdoor.sidecar.transport.stream_protocol import StreamProtocol
 
+LISTEN_RETRIES_S = 2.0
 MAX_ACCEPTS = 64  # connections taken in one turn of the loop, so that open ones are not delayed
 log = logging.getLogger(__name__)
 
@@ -107,9 +109,14 @@
 
 
 def _listen(host: str, port: int, backlog: int) -> socket.socket:
+    """Listen; where descriptors or memory are short for a moment, try again for a while."""
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    try:
-        return socket.create_server((host.strip("[]"), port), family=family, backlog=backlog)
-    except OSError as error:
-        reason = os.strerror(error.errno).lower() if error.errno else str(error)
-        raise OSError(f"can't listen on {host}:{port}: {reason}") from None
+    give_up_s = time.monotonic() + LISTEN_RETRIES_S
+    while True:
+        try:
+            return socket.create_server((host.strip("[]"), port), family=family, backlog=backlog)
+        except OSError as error:
+            if error.errno not in RESOURCE_SHORTAGE or time.monotonic() > give_up_s:
+                reason = os.strerror(error.errno).lower() if error.errno else str(error)
+                raise OSError(f"can't listen on {host}:{port}: {reason}") from None
+        time.sleep(RETRY_S)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -10,6 +10,8 @@
 
 import pytest
 
+from corkdoor.sidecar.transport import acceptor as acceptor_module
+from corkdoor.sidecar.transport.acceptor import Acceptor
 from corkdoor.sidecar.transport.stream import StreamTransport
 from tests.sidecar_support import wait_until
 
@@ -166,3 +168,32 @@
     await wait_until(lambda: protocol.received == b"input")
     assert loop.failing.failures == 1
     protocol.transport.abort()
+
+
+@pytest.mark.parametrize("error", [errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM])
+async def test_a_shortage_for_a_moment_does_not_keep_a_process_from_listening(
+    monkeypatch: pytest.MonkeyPatch, error: int
+) -> None:
+    """Guards against a start that ends because one call failed, as Linux documents it."""
+    failures = iter([OSError(error, "short")] * 3)
+    create_server = socket.create_server
+
+    def failing(*arguments: Any, **options: Any) -> socket.socket:
+        for failure in failures:
+            raise failure
+        return create_server(*arguments, **options)
+
+    monkeypatch.setattr(socket, "create_server", failing)
+    acceptor = Acceptor("127.0.0.1", 0, 1, RecordingProtocol)
+    assert acceptor.is_open
+    acceptor.close()
+
+
+async def test_a_shortage_that_lasts_is_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    def failing(*arguments: Any, **options: Any) -> socket.socket:
+        raise OSError(errno.ENFILE, "short")
+
+    monkeypatch.setattr(acceptor_module, "LISTEN_RETRIES_S", 0.05)
+    monkeypatch.setattr(socket, "create_server", failing)
+    with pytest.raises(OSError, match=r"can't listen on 127\.0\.0\.1:0: too many open files in system"):
+        Acceptor("127.0.0.1", 0, 1, RecordingProtocol)
