Excuse a request that a client writes to a process that was killed just before

Cause: the soak's own. A client connected, its process was killed, and the client wrote before its loop told it of the reset: the kill was before the writing, so the request counted as lost.

A request sent before the kill was excused already.

--- a/faults/clients.py
+++ b/faults/clients.py
@@ -79,6 +79,7 @@
         self.writer: asyncio.StreamWriter | None = None
         self.target: SidecarTarget | None = None
         self.reused = False  # whether the connection has served a request before
+        self.connected_s = 0.0  # loop time at which it began to connect
 
     async def run(self, until_s: float) -> None:
         """Send requests until that loop time in seconds."""
@@ -104,6 +105,7 @@
             await asyncio.sleep(NO_TARGET_S)
             return False
         self.target = self.rng.choice(open_targets)
+        self.connected_s = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(CONNECT_S):
                 self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.target.port)
@@ -237,7 +239,11 @@
         untouched = connection_ended and not partial and not record.executions
         crossed = untouched and self.reused
         closed_unread = untouched and self.target.descriptors_exhausted
-        record.excused = crossed or closed_unread or self.target.killed_since(record.sent_s)
+        # A request that is written just after its process was killed is taken by nobody.
+        killed = self.target.killed_since(record.sent_s) or (
+            untouched and self.target.killed_since(self.connected_s)
+        )
+        record.excused = crossed or closed_unread or killed
         self.oracle.counts["closed unread with descriptors exhausted"] += closed_unread and not crossed
         self.oracle.counts["crossed a connection's end"] += crossed
         self.oracle.judge(record, None, b"", asyncio.get_running_loop().time())
