--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -258,3 +258,18 @@
     assert soak.oracle.violations == [], soak.report()
     assert soak.discovery.rejected > 20
     assert soak.oracle.counts["answered 200"] > 200
+
+
+LONG_QUEUE = overloaded_plan(
+    15, sidecars=7, seconds=25.0, discovery=DiscoveryProfile(cost_s=0.28, capacity=1_000)
+)
+RESTARTS_AND_RESETS = draw_plan(seed=323, sidecars=8, endpoints=8, seconds=20.0)
+
+
+@pytest.mark.parametrize("plan", [LONG_QUEUE, RESTARTS_AND_RESETS], ids=["long_queue", "restarts_and_resets"])
+def test_drains_at_an_overloaded_discovery_under_moves_restarts_and_resets(
+    plan: Plan, tmp_path: Path
+) -> None:
+    """Guards against calls that are thrown away in a long queue, or made by all at once, and miss a drain."""
+    soak = played(plan, tmp_path)
+    assert soak.oracle.violations == [], soak.report()
