Leave a rest as it is where a list comes while the watch rests

Cause: since overload lasts longer than one rest, a list that comes while the watch rests (it was on its way as the watch was closed) began another rest, and the freshness rule took the watch for open.

Change: such a list is applied and leaves the rest and the closed watch as they are.

--- a/corkdoor/policy/discovery/polling.py
+++ b/corkdoor/policy/discovery/polling.py
@@ -102,6 +102,9 @@
         self._reset_retries()
         self.backoff.on_answer()
         self.freshness.on_answer(now_us, empty)
+        if self.state is PollState.RESTING:  # it was on its way as the watch was closed
+            self.freshness.on_watch_closed()
+            return
         rest_us = 0 if empty else self.turns.take_rest_us()
         if rest_us:
             self.freshness.on_watch_closed()
--- a/tests/test_discovery_polling.py
+++ b/tests/test_discovery_polling.py
@@ -29,7 +29,7 @@
     MAX_INTERVAL_US,
     poll_limits,
 )
-from corkdoor.policy.discovery.poll_state import POLL_TRANSITIONS
+from corkdoor.policy.discovery.poll_state import POLL_TRANSITIONS, PollState
 from corkdoor.settings import LifecycleRules
 from tests.support import MS, RecordingHost, S, endpoints, settings
 
@@ -133,6 +133,19 @@
         host.advance(due - host.now_us)
 
 
+def test_a_list_that_comes_while_the_watch_rests_leaves_the_rest_as_it_is() -> None:
+    host = RecordingHost(settings(discovery_mode=DiscoveryMode.POLL))
+    polling = host.balancer.discovery
+    host.balancer.on_watch_event(host.now_us, WatchEventKind.REJECTED, [])
+    assert polling.next_poll_us is not None
+    host.advance(polling.next_poll_us - host.now_us)
+    for _ in range(2):
+        host.balancer.on_watch_event(host.now_us, WatchEventKind.FULL, endpoints(2))
+        assert polling.state is PollState.RESTING
+        assert not polling.freshness.watch_open
+    assert not POLL_TRANSITIONS.violations
+
+
 def test_polling_follows_its_table_of_states() -> None:
     host = RecordingHost(settings(discovery_mode=DiscoveryMode.POLL))
     polling = host.balancer.discovery
