--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,13 +1,17 @@
-"""Clients send several requests at once on a connection, among them orders with long bodies."""
+"""Peers send one read and, at once behind it, improper requests with many short header lines."""
 
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
+import signal
+import string
 import time
 from pathlib import Path
 
 from standins import (
+    CaseError,
     Discovery,
     Listener,
     Record,
@@ -20,16 +24,18 @@
     small_site,
 )
 
-DESCRIPTORS, MEMORY_MB = 256, 48
-CLIENTS = 80  # under a third of the descriptors
-ROUNDS = 4
-ROUND_PAUSE_S = 1.0
-READS, ORDERS = 2, 4  # requests that a client sends at once: the reads first
-ORDER_BYTES = 60_000  # a body holds 64 KiB at most
-DEADLINE_MS = 4000
-ANSWER_SLACK_S = 0.55
+DESCRIPTORS, MEMORY_MB = 1024, 80
+SECONDS = 15.0
+TROUBLE_AFTER_S = 3.0
+BAD_PEERS = 320  # under a third of the descriptors
+IMPROPER_REQUESTS = 6  # that each bad peer sends behind its read
+HEADER_LINES = 440  # of each improper request: 3 KB on the wire
+CONNECTED_S = 0.5  # from connecting until a bad peer sends
+CLIENT_REQUESTS_PER_S = 20.0
 ENDPOINTS = 8
 SERVICE_S = (0.05, 0.15)
+DEADLINE_MS = 4000
+MEASURE_INTERVAL_S = 0.02
 
 
 class Endpoint:
@@ -49,69 +55,57 @@
             self.record.write(f"{self.name} answers {request_id} with 200")
 
 
-class Request:
-    """One request, its bytes, and the answer to it."""
-
-    def __init__(self, is_read: bool) -> None:
-        self.id, self.is_read = new_id(), is_read
-        key = "" if is_read else new_id() + new_id()
-        body = b"" if is_read else b"o" * ORDER_BYTES
-        self.data = encode_request("laoseis" if is_read else "tellimus", self.id, DEADLINE_MS, body, key)
-        self.status: str | None = None
+class Exchanges:
+    """Connections, each with the answers on it."""
 
+    def __init__(self, port: int, record: Record) -> None:
+        self.port, self.record = port, record
+        self.unanswered = 0  # proper requests of clients that have no answer
 
-class Client:
-    """Sends its requests at once, or, without the disruption, each after the answer to the one before."""
+    async def request(self) -> None:
+        """Send the request of one client, and read the answer."""
+        request_id = new_id()
+        await self.run(f"client with {request_id}", encode_request("laoseis", request_id, DEADLINE_MS), 1)
 
-    def __init__(self, number: int, port: int, record: Record) -> None:
-        self.name, self.port, self.record = f"client {number}", port, record
-        self.requests: list[Request] = []
-
-    async def send_at_once(self) -> None:
-        """Send a round of requests at once, and read the answers."""
-        requests = self._new_requests()
+    async def run(self, name: str, data: bytes, answers: int, pause_s: float = 0.0) -> None:
+        """Connect, send data after a pause, and read so many answers."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        self.record.write(f"{self.name} sends at once: {' '.join(self._label(each) for each in requests)}")
-        writer.write(b"".join(each.data for each in requests))
-        await self._read(reader, requests)
+        await asyncio.sleep(pause_s)
+        writer.write(data)
+        self.record.write(f"{name} sends {len(data)} bytes")
+        statuses = []
+        try:
+            while len(statuses) < answers:
+                answer = await asyncio.wait_for(read_message(reader), DEADLINE_MS / 1000 + 2.0)
+                statuses.append(answer.first_line.split(" ")[1])
+        except (TimeoutError, asyncio.IncompleteReadError, OSError) as error:
+            statuses.append(type(error).__name__)
+            self.unanswered += name.startswith("client")
+        self.record.write(f"{name} gets {' '.join(statuses)}")
         writer.close()
 
-    async def send_in_turn(self) -> None:
-        """Send a round of requests, each after the answer to the one before."""
-        for request in self._new_requests():
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-            self.record.write(f"{self.name} sends {self._label(request)}")
-            writer.write(request.data)
-            await self._read(reader, [request])
-            writer.close()
-
-    def _new_requests(self) -> list[Request]:
-        requests = [Request(is_read=number < READS) for number in range(READS + ORDERS)]
-        self.requests += requests
-        return requests
-
-    @staticmethod
-    def _label(request: Request) -> str:
-        return f"{request.id} /{'laoseis' if request.is_read else 'tellimus'}"
-
-    async def _read(self, reader: asyncio.StreamReader, requests: list[Request]) -> None:
-        """Read the answers, which come in the order of the requests."""
-        until_s = time.monotonic() + DEADLINE_MS / 1000 + ANSWER_SLACK_S
-        for request in requests:
-            try:
-                answer = await asyncio.wait_for(read_message(reader), until_s - time.monotonic())
-            except (TimeoutError, asyncio.IncompleteReadError, OSError) as error:
-                end = (
-                    "no answer in time"
-                    if isinstance(error, TimeoutError)
-                    else "the sidecar ends the connection"
-                )
-                self.record.write(f"{self.name}: {end}, {request.id} has no answer")
-                return
-            request.status = answer.first_line.split(" ")[1]
-            self.record.write(
-                f"{self.name} gets {request.status} for {request.id}: {answer.body[:40].decode()!r}"
-            )
+
+def bad_input() -> bytes:
+    """Return a proper read, and requests behind it that have no id, no deadline and no host."""
+    names = itertools.islice(itertools.product(string.ascii_lowercase, repeat=2), HEADER_LINES)
+    lines = "".join(f"{''.join(name)}:xy\r\n" for name in names)
+    improper = f"GET /laoseis HTTP/1.1\r\n{lines}\r\n".encode()
+    return encode_request("laoseis", new_id(), DEADLINE_MS) + IMPROPER_REQUESTS * improper
+
+
+def anonymous_mb(pid: int) -> float:
+    """Return the anonymous memory of a process in MiB; what else counts as its memory comes on top.
+
+    Where the system does not tell it, this is the whole resident memory.
+    """
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError as error:
+        raise CaseError("the sidecar has ended") from error
+    kib = {
+        name: value.split()[0] for name, _, value in (line.partition(":") for line in lines) if value.split()
+    }
+    return int(kib.get("RssAnon") or kib["VmRSS"]) / 1024
 
 
 async def case(folder: Path, record: Record, trouble: bool) -> bool:
@@ -123,25 +117,44 @@
         await endpoint.listener.start()
         discovery.put(endpoint.name, endpoint.listener.port)
     sidecar = Sidecar(folder, record, discovery, small_site(), sockets=DESCRIPTORS, memory_mb=MEMORY_MB)
+    peak_mb, over_at_s = 0.0, None
     try:
         await sidecar.start()
-        clients = [Client(number, sidecar.port, record) for number in range(CLIENTS)]
-        for _ in range(ROUNDS):
-            await asyncio.gather(*(c.send_at_once() if trouble else c.send_in_turn() for c in clients))
-            await asyncio.sleep(ROUND_PAUSE_S)
+        assert sidecar.process is not None
+        exchanges = Exchanges(sidecar.port, record)
+        began_s = time.monotonic()
+        next_request_s, trouble_began, tasks = began_s, not trouble, []
+        while time.monotonic() < began_s + SECONDS:
+            now_s = time.monotonic()
+            if now_s >= next_request_s:
+                next_request_s += random.expovariate(CLIENT_REQUESTS_PER_S)
+                tasks.append(asyncio.create_task(exchanges.request()))
+            if not trouble_began and now_s > began_s + TROUBLE_AFTER_S:
+                trouble_began = True
+                record.write(f"{BAD_PEERS} bad peers connect; each will send, with an id of its own:")
+                record.write(repr(bad_input()[:400]) + " and so on")
+                tasks += [
+                    asyncio.create_task(exchanges.run(f"bad peer {number}", bad_input(), 2, CONNECTED_S))
+                    for number in range(BAD_PEERS)
+                ]
+            used_mb = anonymous_mb(sidecar.process.pid)
+            if used_mb > peak_mb + 1.0:
+                peak_mb = used_mb
+                record.write(f"sidecar: {used_mb:.0f} MiB of anonymous memory, of {MEMORY_MB}")
+            if used_mb > MEMORY_MB and over_at_s is None:
+                over_at_s = now_s
+                record.write("OVER THE LIMIT: the platform kills the sidecar for memory")
+                sidecar.send_signal(signal.SIGKILL)
+                break
+            await asyncio.sleep(MEASURE_INTERVAL_S)
+        await asyncio.gather(*tasks)
     finally:
         await sidecar.stop()
-    requests = [request for client in clients for request in client.requests]
-    # The reads stand before all orders of their connection, so the sidecar has read them whole before any
-    # body that it has no memory for.
-    lost = [request for request in requests if request.is_read and request.status is None]
-    statuses: dict[str, int] = {}
-    for request in requests:
-        statuses[request.status or "none"] = statuses.get(request.status or "none", 0) + 1
-    record.write(f"requests by status: {statuses}; reads that were never answered: {len(lost)}")
-    for request in lost:
-        record.write(f"LOST {request.id}")
-    return not lost
+    record.write(
+        f"most anonymous memory: {peak_mb:.0f} MiB of {MEMORY_MB};"
+        f" requests of clients that have no answer: {exchanges.unanswered}"
+    )
+    return over_at_s is None
 
 
 if __name__ == "__main__":
