Status line: memory charged to the budget, its limit, and the memory of the process

Cause: the log told how many connections are open and nothing of memory, so a sidecar that is killed for memory leaves no sign of what took it, and bodies (which are budgeted) can't be told from anything else. Change: the status line has held_kib, max_held_kib and memory_kib (anonymous memory, from /proc/self/statm).

--- a/corkdoor/sidecar/status_report.py
+++ b/corkdoor/sidecar/status_report.py
@@ -6,6 +6,7 @@
 
 from corkdoor.log_events import LogEvent
 from corkdoor.sidecar.clock import now_us
+from corkdoor.sidecar.process_memory import anonymous_kib
 from corkdoor.sidecar.proxy import Proxy
 from corkdoor.status import format_state
 
@@ -20,6 +21,9 @@
         "requests": len(proxy.requests),
         "connections": pools.open_connections,
         "max_connections": pools.max_connections,
+        "held_kib": proxy.budget.held_bytes // 1024,
+        "max_held_kib": proxy.budget.limit_bytes // 1024,
+        "memory_kib": anonymous_kib(),
         **proxy.endpoint_updates.list_fields(),
         "longest_list_age_s": freshness.longest_age_us / 1e6,
         **_take_counts(proxy.counters),
