Transport: the error that ends a connection no longer keeps the call stack in memory

Cause: an error of a read or write is reported to the protocol in the next iteration of the loop. Until then its traceback and context refer to the stack in which it arose: where the answer to a rejected request can't be written, to the parsed request. With hundreds of peers that reset in one iteration, all their requests are in memory at once. Change: traceback and context are dropped as the connection ends; no protocol reads them. The new test failed before: the error had its traceback and context.

--- a/corkdoor/sidecar/transport/stream.py
+++ b/corkdoor/sidecar/transport/stream.py
@@ -120,6 +120,9 @@
         self._receiver.end()
         self._sender.discard()
         self._socket.close()
+        if error is not None:
+            # They refer to the whole call stack, and so to the input, until the protocol has been notified.
+            error.__traceback__ = error.__context__ = None
         self._loop.call_soon(self._report_end, error)
 
     def _report_end(self, error: Exception | None) -> None:
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import socket
+import struct
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -24,6 +25,7 @@
     def __init__(self) -> None:
         self.received = b""
         self.calls: list[str] = []
+        self.error: Exception | None = None
 
     def connection_made(self, transport: StreamTransport) -> None:
         self.transport = transport
@@ -42,6 +44,7 @@
         self.calls.append("resume_writing")
 
     def connection_lost(self, error: Exception | None) -> None:
+        self.error = error
         self.calls.append(f"connection_lost {type(error).__name__}")
 
 
@@ -203,3 +206,23 @@
     monkeypatch.setattr(socket, "create_server", failing)
     with pytest.raises(OSError, match=r"can't listen on 127\.0\.0\.1:0: too many open files in system"):
         Acceptor("127.0.0.1", 0, 1, RecordingProtocol)
+
+
+async def test_error_of_a_connection_does_not_keep_its_call_stack_in_memory(
+    peers: tuple[socket.socket, socket.socket],
+) -> None:
+    """Guards against requests that stay in memory until all ends of an iteration are reported.
+
+    The traceback of an error refers to the stack in which it was raised, and its context to an earlier error.
+    """
+    own, peer = peers
+    protocol = connect_protocol(own)
+    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    peer.close()
+    try:
+        raise ValueError
+    except ValueError:
+        protocol.transport.write(b"x")
+    await asyncio.sleep(0)
+    assert isinstance(protocol.error, ConnectionError)
+    assert (protocol.error.__traceback__, protocol.error.__context__) == (None, None)
