Responses: heads, trailers and bodies are charged to the budget as they are in memory

What callers saw: endpoints that answer 120 requests at once with 16 KB of short header fields and go on, take a sidecar of 32 MB to 59 MiB; with a trailer that does not end to 151 MiB (500 requests: 138 and 306 MiB). It is killed, with all that it had taken. The budget counted bodies. A head was measured only where a read left it incomplete, so one read could bring 400 KB of objects; what comes behind a chunked body had no limit at all. Change: ResponseReader reserves what an incomplete response takes, parses a head in steps of 4 KB, each only if the budget has room for whatever it may become (MemoryShortageError, a failed attempt), and limits what follows the last part of a body as a head is limited. The head's limit holds for heads that come in one read, too. Why it works: between two reads a response holds nothing uncounted, and within a step no more than was found free.

--- a/corkdoor/sidecar/memory_budget.py
+++ b/corkdoor/sidecar/memory_budget.py
@@ -47,17 +47,6 @@
         """Whether `size` more bytes stay within this share of the limit."""
         return self.held_bytes + size <= self.limit_bytes * share
 
-    def try_reserve(self, size: int) -> bool:
-        """Add `size` bytes if the limit allows all of them; return whether it does."""
-        if not self.has_room(size):
-            return False
-        self.held_bytes += size
-        return True
-
-    def release(self, size: int) -> None:
-        """Subtract `size` bytes, which are no longer held."""
-        self.held_bytes -= size
-
 
 class MemoryReservation:
     """The part of a budget that one owner holds.
--- a/corkdoor/sidecar/upstream/connection.py
+++ b/corkdoor/sidecar/upstream/connection.py
@@ -45,7 +45,7 @@
 
     Args:
         owner: notified of the response, or of the end of the connection.
-        budget: limits the bytes of response bodies that are held for all connections together.
+        budget: limits the memory that all incomplete responses take together.
         max_body_bytes: the maximum size of one response body.
 
     Attributes:
--- a/corkdoor/sidecar/upstream/errors.py
+++ b/corkdoor/sidecar/upstream/errors.py
@@ -12,8 +12,12 @@
 
 
 class HeadTooLargeError(ResponseError):
-    """The head, including all interim responses before it, exceeds the limit."""
+    """The head, including all interim responses before it, or what follows the body exceeds the limit."""
 
 
 class BodyTooLargeError(ResponseError):
-    """The body exceeds the limit of one response, or the remaining budget for all responses."""
+    """The body exceeds the limit of one response."""
+
+
+class MemoryShortageError(ResponseError):
+    """The budget has no room for more of the response."""
--- a/corkdoor/sidecar/upstream/response_reader.py
+++ b/corkdoor/sidecar/upstream/response_reader.py
@@ -11,20 +11,31 @@
 import httptools
 
 from corkdoor.sidecar.http_fields import OPTIONAL_WHITESPACE
-from corkdoor.sidecar.memory_budget import MemoryBudget
+from corkdoor.sidecar.memory_budget import (
+    HEADER_FIELD_BYTES,
+    MAX_EXPANSION,
+    MESSAGE_BYTES,
+    MemoryBudget,
+    MemoryReservation,
+    growing_bytes,
+)
 from corkdoor.sidecar.upstream.errors import (
     BodyTooLargeError,
     HeadTooLargeError,
     MalformedResponseError,
+    MemoryShortageError,
     ResponseError,
 )
 from corkdoor.sidecar.upstream.response import Response
 from corkdoor.state_machine import TransitionTable
 
 MAX_BODY_BYTES = 64 * 1024  # the limit that the protocol sets
-# The limit of one head, including all interim responses before it. It is checked only after a read that
-# leaves the head incomplete.
+# The limit of one head, including all interim responses before it, and of what follows the last part of a
+# chunked body. It is checked only after a step of HEAD_STEP_BYTES that leaves it incomplete.
 MAX_HEAD_BYTES = 16 * 1024
+HEAD_STEP_BYTES = 4 * 1024  # bytes of a head parsed in one step
+# Copies of a body: the one that grows, and the one in the complete response.
+BODY_COPIES = 2
 _FIRST_FINAL_STATUS = 200  # lower statuses are interim: RFC 9110, 15
 
 
@@ -56,34 +67,43 @@
         phase: the progress of the response.
         headers: the header fields.
         head_bytes: the bytes of the head received so far, including interim responses.
+        framing_bytes: the bytes received since the last part of the body.
         body: the part of the body received so far.
         keep_alive: whether another exchange may follow on the connection.
         complete: the complete response; None: it is incomplete.
     """
 
-    __slots__ = ("body", "complete", "head_bytes", "headers", "keep_alive", "phase")
+    __slots__ = ("body", "complete", "framing_bytes", "head_bytes", "headers", "keep_alive", "phase")
 
     def __init__(self) -> None:
         self.phase: ResponsePhase = HEAD
         self.headers: list[tuple[bytes, bytes]] = []
         self.head_bytes = 0
+        self.framing_bytes = 0
         self.body = bytearray()
         self.keep_alive = False
         self.complete: Response | None = None
 
+    @property
+    def memory_bytes(self) -> int:
+        """The memory that the response takes, with the copy of its body in the complete response."""
+        unparsed_bytes = self.head_bytes + self.framing_bytes
+        body_bytes = BODY_COPIES * growing_bytes(len(self.body))
+        return MESSAGE_BYTES + len(self.headers) * HEADER_FIELD_BYTES + unparsed_bytes + body_bytes
+
 
 class ResponseReader:
     """Parses one response at a time; `reset` prepares for the next.
 
     Args:
-        budget: limits the bytes of response bodies that are held for all connections together.
+        budget: limits the memory that all incomplete responses take together.
         max_body_bytes: the maximum size of one response body.
     """
 
-    __slots__ = ("_budget", "_max_body_bytes", "_parser", "_partial")
+    __slots__ = ("_max_body_bytes", "_memory", "_parser", "_partial")
 
     def __init__(self, budget: MemoryBudget, max_body_bytes: int = MAX_BODY_BYTES) -> None:
-        self._budget = budget
+        self._memory = MemoryReservation(budget)
         self._max_body_bytes = max_body_bytes
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._partial = _PartialResponse()
@@ -99,10 +119,23 @@
         Raises:
             ResponseError: the bytes are not a usable response.
         """
-        parser, partial = self._parser, self._partial
-        if parser is None:
+        if self._parser is None:
             return None
-        began_in_head = partial.phase is HEAD
+        partial, rest = self._partial, memoryview(data)
+        while rest and partial.complete is None:
+            step = rest[:HEAD_STEP_BYTES] if partial.phase is HEAD else rest
+            self._feed_step(self._parser, step)
+            rest = rest[len(step) :]
+        if rest:
+            partial.keep_alive = False  # for the same reason as in `_feed_step`
+        return partial.complete
+
+    def _feed_step(self, parser: httptools.HttpResponseParser, data: memoryview) -> None:
+        partial, size = self._partial, len(data)
+        began_in_head, body_bytes = partial.phase is HEAD, len(partial.body)
+        if not self._memory.budget.has_room(size * (MAX_EXPANSION if began_in_head else BODY_COPIES)):
+            self._memory.budget.refusals += 1
+            raise MemoryShortageError("no memory is left for a response")
         try:
             parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -110,9 +143,12 @@
             if partial.complete is None:
                 raise _as_response_error(error) from None
             partial.keep_alive = False
-        if partial.complete is None and began_in_head:
-            self._check_head_size(len(data))
-        return partial.complete
+        if partial.complete is None:
+            if began_in_head:
+                self._check_head_size(size)
+            else:
+                self._check_framing_size(size, len(partial.body) - body_bytes)
+            self._memory.resize(partial.memory_bytes)
 
     def feed_eof(self) -> Response | None:
         """Return the response that ends with the connection, if there is one."""
@@ -123,8 +159,8 @@
         return partial.complete
 
     def reset(self) -> None:
-        """Discard the response and return its bytes to the budget."""
-        self._budget.release(len(self._partial.body))
+        """Discard the response and release its memory."""
+        self._memory.release()
         self._partial = _PartialResponse()
 
     def close(self) -> None:
@@ -142,6 +178,13 @@
         if partial.phase is HEAD and partial.head_bytes > MAX_HEAD_BYTES:
             raise HeadTooLargeError(f"response head exceeds {MAX_HEAD_BYTES} bytes")
 
+    def _check_framing_size(self, size: int, body_size: int) -> None:
+        """Guard against a line without an end among the chunks, or among the trailers behind them."""
+        partial = self._partial
+        partial.framing_bytes = 0 if body_size else partial.framing_bytes + size
+        if partial.framing_bytes > MAX_HEAD_BYTES:
+            raise HeadTooLargeError(f"what follows the response body exceeds {MAX_HEAD_BYTES} bytes")
+
     def _finish(self, status: int) -> None:
         partial = self._partial
         partial.complete = Response(status, partial.headers, bytes(partial.body))
@@ -184,7 +227,7 @@
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
         held = self._partial.body
-        if len(held) + len(body) > self._max_body_bytes or not self._budget.try_reserve(len(body)):
+        if len(held) + len(body) > self._max_body_bytes:
             raise BodyTooLargeError("response body too large")
         held += body
 
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -4,17 +4,19 @@
 
 import asyncio
 import contextlib
+import json
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 from typing import NamedTuple
 
 import pytest
 
-from tests.fake_server import FakeServer, endpoint_list
+from tests.fake_server import FakeServer, endpoint_list, endpoint_row
 from tests.sidecar_client import REQUEST_HEAD, Client
 from tests.sidecar_process import SidecarProcess, running_sidecar
 
 SAMPLE_INTERVAL_S = 0.01
+ENDPOINTS = 40  # so many that the concurrency limits admit all requests
 ROUNDS, PAUSE_S = 3, 0.3  # of input from all peers
 READ = "GET /look HTTP/1.1\r\nHost: a\r\nReq-Id: {id}\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 4000\r\n"
 SHORT_FIELDS = "aa:xy\r\n" * 440
@@ -66,6 +68,17 @@
 }
 
 
+# What an endpoint answers.
+LONG_BODY = b"HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n"
+CHUNKED_BODY = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+ANSWERS = {
+    "unfinished heads": b"HTTP/1.1 200 OK\r\n" + b"aa:xy\r\n" * 2300,
+    "unfinished bodies": LONG_BODY + b"aa:xy\r\n" * 1100 + b"\r\n" + b"x" * 65_000,
+    "unfinished trailers": CHUNKED_BODY + b"A: " + b"a" * 1_000_000,
+    "long answers": LONG_BODY + b"\r\n" + b"x" * 65_536,
+}
+
+
 class MemoryMeter:
     """Samples the anonymous memory of a process until the block ends.
 
@@ -94,11 +107,14 @@
 async def measured_sidecar(
     tmp_path: Path, limits: Limits
 ) -> AsyncIterator[tuple[SidecarProcess, MemoryMeter]]:
-    """Run a sidecar with these limits; its endpoint receives requests and answers none by itself."""
-    discovery = await FakeServer().start()
+    """Run a sidecar with these limits; its endpoints receive requests at one address and answer none."""
+    discovery, endpoint = await FakeServer().start(), await FakeServer().start()
     limits_document = {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.descriptors}
-    changes = {"limits": limits_document, "discovery": discovery.address}
+    rows = [endpoint_row(f"s-{number}", endpoint.address) for number in range(ENDPOINTS)]
+    known = json.loads(endpoint_list(1, True, *rows))
+    changes = {"limits": limits_document, "discovery": discovery.address, "known": known}
     async with running_sidecar(tmp_path, changes) as running:
+        running.endpoint = endpoint
         answering = asyncio.create_task(answer_discovery(discovery))
         meter = MemoryMeter(running.process.pid)
         sampling = asyncio.create_task(meter.run())
@@ -141,3 +157,31 @@
             for client in clients:
                 client.writer.transport.abort()
         assert meter.peak_mb <= limits.memory_mb
+
+
+async def answer_all(endpoint: FakeServer, answer: bytes) -> None:
+    """Answer each request with these bytes."""
+    while True:
+        received = await endpoint.next_request()
+        with contextlib.suppress(RuntimeError):  # the sidecar has closed the connection
+            received.writer.write(answer)
+
+
+@pytest.mark.time_limit_s(30.0)
+@pytest.mark.parametrize("limits", LIMITS.values(), ids=LIMITS)
+@pytest.mark.parametrize("kind", ANSWERS)
+async def test_memory_stays_within_the_limit_when_endpoints_answer_much_at_once(
+    kind: str, limits: Limits, tmp_path: Path
+) -> None:
+    """Guards against answers that take memory which the budget does not count; clients read nothing."""
+    async with measured_sidecar(tmp_path, limits) as (running, meter):
+        answering = asyncio.create_task(answer_all(running.endpoint, ANSWERS[kind]))
+        clients = [await running.client() for _ in range(limits.peers)]
+        for number, client in enumerate(clients):
+            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            client.writer.write(b"".join(read(100 * number + i) for i in range(30)))
+        await asyncio.sleep(2.0)
+        answering.cancel()
+        for client in clients:
+            client.writer.transport.abort()
+        assert meter.peak_mb <= limits.memory_mb
