Memory: output that a client or an endpoint has not read is charged to the budget

What callers would see: a sidecar over memory_mb beside clients that send requests and read no answers, or endpoints that read no requests. Both are limited one by one (64 KB and an answer a client, a request an endpoint), and not together. Cause: the third place where bytes that arrived stay in memory, after input and answers: the buffer of a transport. An answer left the budget once it was written, read or not; a request's head and body did once its client had gone, while an attempt that may not be cancelled still held them. Evidence: 115,328 bytes wait for one client with held_bytes at 0, and 57,068 for an endpoint with only the request's objects counted. Change: a client's connection reserves its buffered output (looked at again every 0.1 s, since a client reads without notice), a connection to an endpoint what the kernel has not accepted of a request. Why it works: an answer is read only where the budget has room for it, and now keeps that room until the client has it.

--- a/corkdoor/sidecar/clients/connection.py
+++ b/corkdoor/sidecar/clients/connection.py
@@ -144,6 +144,11 @@
         """Whether too much output is buffered because the client does not read its responses."""
         return self._output_state is BLOCKED
 
+    @property
+    def holds_memory(self) -> bool:
+        """Whether any of the memory budget is reserved for input or output."""
+        return self._memory.held_bytes > 0
+
     @property
     def has_input_ended(self) -> bool:
         """Whether no further input is parsed."""
@@ -223,8 +228,9 @@
         self._reject(HTTPError(HTTPStatus.SERVICE_UNAVAILABLE, "no memory is left"))
 
     def update_memory(self) -> None:
-        """Reserve the memory that this connection's input takes now."""
-        self._memory.resize(self._backlog.memory_bytes + self._parser.memory_bytes)
+        """Reserve the memory that the input takes now, and the output that the client has not read."""
+        input_bytes = self._backlog.memory_bytes + self._parser.memory_bytes
+        self._memory.resize(input_bytes + self.transport.buffered_bytes())
 
     def _serve_next(self) -> None:
         backlog = self._backlog
@@ -307,6 +313,8 @@
         # Waiting requests were accepted too, so they are served even while the server closes connections.
         keep_alive = self._keep_alive and (has_backlog or not self._server.closes_connections())
         self.transport.write(encode_response(status, headers, body, keep_alive))
+        if self.transport.buffered_bytes():
+            self.update_memory()
         if not keep_alive:
             self._close_after_response()
         elif has_backlog:
--- a/corkdoor/sidecar/clients/server.py
+++ b/corkdoor/sidecar/clients/server.py
@@ -65,6 +65,8 @@
             await asyncio.sleep(self.timeouts.check_interval_s)
             now = now_us()
             for client in self.clients:
+                if client.holds_memory:
+                    client.update_memory()  # the client may have read output meanwhile
                 self.timeouts.check(client, self.admission.longest_deadline_s, now)
 
     # Admission.
--- a/corkdoor/sidecar/upstream/connection.py
+++ b/corkdoor/sidecar/upstream/connection.py
@@ -7,7 +7,7 @@
 
 from corkdoor.log_events import LogEvent
 from corkdoor.sidecar.clock import now_us
-from corkdoor.sidecar.memory_budget import MemoryBudget
+from corkdoor.sidecar.memory_budget import MemoryBudget, MemoryReservation
 from corkdoor.sidecar.transport.stream import StreamTransport
 from corkdoor.sidecar.upstream.connection_state import (
     AWAITING_RESPONSE,
@@ -45,7 +45,7 @@
 
     Args:
         owner: notified of the response, or of the end of the connection.
-        budget: limits the memory that all incomplete responses take together.
+        budget: limits the memory of incomplete responses and unsent requests on all connections.
         max_body_bytes: the maximum size of one response body.
 
     Attributes:
@@ -54,7 +54,7 @@
         last_data_us: when the latest bytes of an incomplete response arrived; None: no response has begun.
     """
 
-    __slots__ = ("_reader", "idle_since_us", "last_data_us", "owner", "state", "transport")
+    __slots__ = ("_output", "_reader", "idle_since_us", "last_data_us", "owner", "state", "transport")
 
     def __init__(
         self, owner: ConnectionOwner, budget: MemoryBudget, max_body_bytes: int = MAX_BODY_BYTES
@@ -63,6 +63,7 @@
         self.state: ConnectionState = IDLE
         self.idle_since_us = now_us()
         self.last_data_us: int | None = None
+        self._output = MemoryReservation(budget)  # the part of the request that the kernel has not accepted
         self._reader = ResponseReader(budget, max_body_bytes)
 
     @property
@@ -93,6 +94,7 @@
             return
         self.state = CONNECTION_STATES.check(self.state, CLOSED)
         self.transport.abort()
+        self._output.release()
 
     def abandon(self, reason: str) -> None:
         """Close the connection because its input is invalid or missing, and notify the owner."""
@@ -122,9 +124,11 @@
     def pause_writing(self) -> None:
         """The kernel has not accepted all of the request."""
         self.state = CONNECTION_STATES.check(self.state, SENDING)
+        self._output.resize(self.transport.buffered_bytes())
 
     def resume_writing(self) -> None:
         """The kernel has accepted the rest of the request."""
+        self._output.release()
         self.state = CONNECTION_STATES.check(self.state, STATE_AFTER_SEND.get(self.state, AWAITING_RESPONSE))
 
     def data_received(self, data: bytes) -> None:
@@ -157,6 +161,7 @@
     def connection_lost(self, _exc: Exception | None) -> None:
         """The connection has ended."""
         last_state = self.state
+        self._output.release()
         self._reader.close()
         self.last_data_us = None
         if last_state is not CLOSED:
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
@@ -123,3 +124,46 @@
             while not connection.is_reading_paused:
                 await asyncio.sleep(0.001)
         await sidecar.serve_one(await sidecar.client(), body=BODY)
+
+
+async def test_unread_responses_are_counted_until_the_client_has_read_them() -> None:
+    """Guards against responses that pile up uncounted for clients that do not read."""
+    async with Sidecar() as sidecar:
+        client = await sidecar.client()
+        connection = await sidecar.block_output(client)
+        assert sidecar.proxy.budget.held_bytes >= connection.transport.buffered_bytes() > 0
+        client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+        for _ in range(client.request_count):
+            assert (await client.read_response()).status == 200
+        await wait_until(lambda: sidecar.proxy.budget.held_bytes == 0)
+
+
+async def test_unread_responses_are_counted_after_the_connection_has_begun_to_close() -> None:
+    async with Sidecar() as sidecar:
+        client = await sidecar.client()
+        connection = await sidecar.block_output(client)
+        client.writer.write(b"noise\r\n\r\n")
+        await wait_until(lambda: connection.is_reading_paused or connection.has_input_ended)
+        assert sidecar.proxy.budget.held_bytes >= connection.transport.buffered_bytes() > 0
+        client.writer.transport.abort()
+        await wait_until(lambda: sidecar.proxy.budget.held_bytes == 0)
+
+
+async def test_request_is_counted_while_its_endpoint_does_not_read_and_its_client_has_left() -> None:
+    """Guards against bodies that stay in the output of an attempt uncounted after their request has ended."""
+    async with Sidecar(Allowed={"MaxAttempts": 1, "MayCancel": False}) as sidecar:
+        listener = sidecar.endpoints[0].server.sockets[0]
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        client = await sidecar.client()
+        await sidecar.serve_one(client)
+        sidecar.endpoints[0].writers[0].transport.pause_reading()  # type: ignore[attr-defined]
+        upstream = next(iter(sidecar.proxy.upstream.pools.values())).idle[0]
+        upstream.transport._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+        client.send(body=BODY, deadline_ms=1000)
+        await wait_until(upstream.transport.buffered_bytes)
+        client.writer.transport.abort()
+        await wait_until(lambda: not sidecar.server.clients)
+        unsent_bytes = upstream.transport.buffered_bytes()
+        assert sidecar.proxy.budget.held_bytes >= unsent_bytes + OPEN_REQUEST_BYTES
+        assert unsent_bytes > 0
+        await wait_until(lambda: sidecar.proxy.budget.held_bytes == 0)  # the deadline ends the attempt
