Test of many open connections: wait until they are accepted

Cause: the test opens 128 connections and counts the process's descriptors after each. Change: the count goes on until more than half of the descriptors are in use, which the time limit of the test bounds. The bounds are as before: more than half, and never more than the limit.

--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -140,6 +140,9 @@
         for _ in range(2 * sockets):
             silent.append(await running.client())
             most = max(most, len(os.listdir(f"/proc/{running.process.pid}/fd")))
+        while most <= sockets / 2:  # connections that wait to be accepted
+            most = max(most, len(os.listdir(f"/proc/{running.process.pid}/fd")))
+            await asyncio.sleep(0.01)
         client = await running.client()
         client.send()
         (await running.endpoint.next_request()).respond()
