Discovery: a list is decoded only if its budget has room for what it may become

What callers would see: a sidecar of 32 MB goes to 168 MiB on one answer of discovery and is killed, with all that it had taken. An answer of up to 2 MB had a budget of its own for each connection, which counted its bytes; decoded, 2 MB of small JSON objects or arrays are 60 MB and more, and a hedged call could bring a second answer beside it. Change: one budget for lists (list_bytes of ResourceLimits, by memory_mb), shared by the calls of a watch. Before a list is decoded its memory is bounded from its text (json_memory); without room it counts as an unreadable answer (AnswerTooLargeError) and the log says how much it wanted. Where the objects share their keys, a closer bound is taken before a list is refused.

--- a/corkdoor/sidecar/discovery/client.py
+++ b/corkdoor/sidecar/discovery/client.py
@@ -11,11 +11,13 @@
 from corkdoor.sidecar.discovery.endpoint_list import EndpointList, read_endpoint_list
 from corkdoor.sidecar.discovery.errors import (
     AnswerStalledError,
+    AnswerTooLargeError,
     AnswerTruncatedError,
     AnswerUnreadableError,
     CallRejectedError,
     ConnectionClosedError,
 )
+from corkdoor.sidecar.discovery.json_memory import close_decoding_bytes, decoding_bytes
 from corkdoor.sidecar.memory_budget import MemoryBudget
 from corkdoor.sidecar.transport.connector import connect
 from corkdoor.sidecar.upstream.connection import Connection
@@ -70,9 +72,16 @@
 
 
 class DiscoveryClient:
-    """Calls discovery at one address, one call at a time, on a connection that stays open between calls."""
+    """Calls discovery at one address, one call at a time, on a connection that stays open between calls.
 
-    def __init__(self, host: str, port: int) -> None:
+    Args:
+        host: discovery's host.
+        port: discovery's port.
+        budget: limits the memory that reading endpoint lists takes.
+    """
+
+    def __init__(self, host: str, port: int, budget: MemoryBudget) -> None:
+        self.budget = budget
         self.host = host
         self.port = port
         self._connection: Connection | None = None
@@ -95,10 +104,18 @@
         if response.status != HTTPStatus.OK:
             raise CallRejectedError(response.status)
         try:
-            return read_endpoint_list(json.loads(response.body))
+            return self._read_list(response.body)
         except (ValueError, RecursionError) as error:
             raise AnswerUnreadableError(str(error)) from None
 
+    def _read_list(self, text: bytes) -> EndpointList:
+        if not self.budget.has_room(len(text) + decoding_bytes(text)):
+            needed_bytes = len(text) + close_decoding_bytes(text)
+            if not self.budget.has_room(needed_bytes):
+                self.budget.refusals += 1
+                raise AnswerTooLargeError(needed_bytes)
+        return read_endpoint_list(json.loads(text))
+
     async def _exchange(self, request: DiscoveryRequest, connect_timeout_s: float) -> Response:
         connection = await self._connect(connect_timeout_s)
         self._pending_response = asyncio.get_running_loop().create_future()
@@ -108,7 +125,7 @@
 
     async def _connect(self, timeout_s: float) -> Connection:
         if self._connection is None or self._connection.closed:
-            opened = Connection(self, MemoryBudget(MAX_LIST_BYTES), MAX_LIST_BYTES)
+            opened = Connection(self, self.budget, MAX_LIST_BYTES)
             async with asyncio.timeout(timeout_s):
                 await connect(opened, self.host, self.port)
             self._connection = opened
--- a/corkdoor/sidecar/discovery/errors.py
+++ b/corkdoor/sidecar/discovery/errors.py
@@ -79,6 +79,18 @@
     """A response arrived in full but is not an endpoint list. The next one may not be one either."""
 
 
+class AnswerTooLargeError(AnswerUnreadableError):
+    """A response arrived in full, but the memory for endpoint lists has no room to read it.
+
+    Attributes:
+        needed_bytes: the memory that reading it may take, in bytes.
+    """
+
+    def __init__(self, needed_bytes: int) -> None:
+        super().__init__(f"reading the list may take {needed_bytes} bytes of memory, more than is free")
+        self.needed_bytes = needed_bytes
+
+
 class EndpointListError(ValueError):
     """A document is not an endpoint list.
 
--- a/corkdoor/sidecar/discovery/hedged_call.py
+++ b/corkdoor/sidecar/discovery/hedged_call.py
@@ -110,7 +110,7 @@
         while True:
             rejected = False
             if not self.address_outdated:
-                client = DiscoveryClient(self._client.host, self._client.port)
+                client = DiscoveryClient(self._client.host, self._client.port, self._client.budget)
                 try:
                     return ReceivedList(await self._make_second_call(client, request), client)
                 except CallRejectedError:
--- a/corkdoor/sidecar/discovery/watcher.py
+++ b/corkdoor/sidecar/discovery/watcher.py
@@ -18,6 +18,7 @@
 from corkdoor.sidecar.discovery.endpoint_list import EndpointList, ResolvedEndpoint
 from corkdoor.sidecar.discovery.errors import AnswerUnreadableError, DiscoveryError
 from corkdoor.sidecar.discovery.hedged_call import HedgedCall
+from corkdoor.sidecar.memory_budget import MemoryBudget
 from corkdoor.state_machine import TransitionTable
 
 # Delay until the failure is reported after an unreadable response. A call that starts sooner after a response
@@ -56,6 +57,7 @@
         port: discovery's port.
         generation: the version of the list that is in use.
         connect_timeout_s: how long opening a connection may take, in seconds.
+        budget: limits the memory that reading endpoint lists takes.
         deliver: called with each watch event and its entries.
     """
 
@@ -65,6 +67,7 @@
         port: int,
         generation: int,
         connect_timeout_s: float,
+        budget: MemoryBudget,
         deliver: Callable[[WatchEventKind, list[ResolvedEndpoint]], None],
     ) -> None:
         self.connect_timeout_s = connect_timeout_s
@@ -73,7 +76,8 @@
         self.known_generation: int | None = generation  # None: the current address has not sent a list yet
         self.state = WatcherState.STOPPED
         self.timeout = WatchTimeout()
-        self._client = DiscoveryClient(host, port)
+        self._budget = budget
+        self._client = DiscoveryClient(host, port, budget)
         self._next_client: DiscoveryClient | None = None  # for a new address, until the first call there
         self._call: HedgedCall | None = None
         self._response_timeout = ResponseTimeout()
@@ -114,7 +118,8 @@
             self._task = None
             self._enter(WatcherState.STOPPED)
             self._client.close()
-            self._client = DiscoveryClient(self._client.host, self._client.port)  # the old call ends later
+            # A new client, as the call of the old one ends later.
+            self._client = DiscoveryClient(self._client.host, self._client.port, self._budget)
             self.timeout.on_interruption(now_us())
 
     def change_address(self, host: str, port: int) -> None:
@@ -124,7 +129,7 @@
         its versions need not be those of the old address.
         """
         log.info(LogEvent("discovery_address_changed", host=host, port=port))
-        self._next_client = DiscoveryClient(host, port)
+        self._next_client = DiscoveryClient(host, port, self._budget)
         self.known_generation = None
         if self._call is not None:
             self._call.address_outdated = True
--- a/corkdoor/sidecar/proxy.py
+++ b/corkdoor/sidecar/proxy.py
@@ -46,6 +46,7 @@
         settings_applied_at_s: when the current settings were applied, in Unix time in seconds.
         lifecycle: the state of the process.
         budget: the budget for the memory that all requests and responses take.
+        list_budget: the budget for the memory that reading endpoint lists takes.
         invariants: counts and logs violations of invariants.
         counters: counts events since the last status line, by name.
         upstream: the pools of connections to endpoints.
@@ -62,6 +63,7 @@
         self.settings_applied_at_s = time.time()
         self.lifecycle = Lifecycle()
         self.budget = MemoryBudget(config.resource_limits.held_bytes)
+        self.list_budget = MemoryBudget(config.resource_limits.list_bytes)
         self.invariants = InvariantLog()
         self.counters: Counter[str] = Counter()
         self.upstream = PoolManager(_pool_limits(config), self.budget, self.invariants)
@@ -70,6 +72,7 @@
             config.discovery.port,
             config.cached_list.generation,
             connect_timeout_s(config.settings),
+            self.list_budget,
             self.on_watch_event,
         )
         self.balancer = Balancer(config.settings, config.seed, self)
@@ -123,6 +126,7 @@
             self.settings = config.settings
             self.attempt_sender.limits = config.settings.limits
         self.budget.limit_bytes = config.resource_limits.held_bytes
+        self.list_budget.limit_bytes = config.resource_limits.list_bytes
         self.upstream.configure(_pool_limits(config))
         self.watcher.connect_timeout_s = connect_timeout_s(config.settings)
         self._set_discovery_address(config.discovery)
--- a/corkdoor/sidecar/status_report.py
+++ b/corkdoor/sidecar/status_report.py
@@ -23,7 +23,7 @@
         "max_connections": pools.max_connections,
         "held_kib": proxy.budget.held_bytes // 1024,
         "max_held_kib": proxy.budget.limit_bytes // 1024,
-        "memory_refusals": proxy.budget.refusals,
+        "memory_refusals": proxy.budget.refusals + proxy.list_budget.refusals,
         "memory_kib": anonymous_kib(),
         **proxy.endpoint_updates.list_fields(),
         "longest_list_age_s": freshness.longest_age_us / 1e6,
--- a/tests/test_emulator_discovery.py
+++ b/tests/test_emulator_discovery.py
@@ -16,6 +16,7 @@
 from corkdoor.policy.discovery.connect_timeout import MAX_TIMEOUT_S
 from corkdoor.sidecar.discovery.endpoint_list import ResolvedEndpoint
 from corkdoor.sidecar.discovery.watcher import DiscoveryWatcher
+from corkdoor.sidecar.memory_budget import MemoryBudget
 from emulator.discovery.connection import read_poll
 from emulator.discovery.registry import CHANGE_LOG_ROWS, Registry
 from emulator.discovery.server import DiscoveryServer, ServerMode
@@ -168,7 +169,9 @@
         self.lists: asyncio.Queue[tuple[WatchEventKind, list[ResolvedEndpoint]]] = asyncio.Queue()
         self.retries = retries
         host, _, port = server.address("a").rpartition(":")
-        self.watcher = DiscoveryWatcher(host, int(port), generation, MAX_TIMEOUT_S, self._deliver)
+        self.watcher = DiscoveryWatcher(
+            host, int(port), generation, MAX_TIMEOUT_S, MemoryBudget(1 << 24), self._deliver
+        )
 
     def _deliver(self, kind: WatchEventKind, entries: list[ResolvedEndpoint]) -> None:
         if self.retries and kind not in (WatchEventKind.FULL, WatchEventKind.DELTA):
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -1,4 +1,4 @@
-"""A sidecar's process stays within its memory limit, whatever its clients send at once."""
+"""A sidecar's process stays within its memory limit, whatever clients, endpoints and discovery send."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 import pytest
 
 from tests.fake_server import FakeServer, endpoint_list, endpoint_row
-from tests.sidecar_client import REQUEST_HEAD, Client
+from tests.sidecar_client import REQUEST_HEAD, Client, readiness_status
 from tests.sidecar_process import SidecarProcess, running_sidecar
 
 SAMPLE_INTERVAL_S = 0.01
@@ -78,6 +78,16 @@
     "long answers": LONG_BODY + b"\r\n" + b"x" * 65_536,
 }
 
+UNCHANGED = endpoint_list(1, False)
+# What discovery answers; the last ones are valid JSON, but no lists.
+LISTS = {
+    "longest list": endpoint_list(
+        1, True, *(endpoint_row(f"server-{i}", f"127.0.{i // 250}.{i % 250}:9") for i in range(3200))
+    ),
+    "objects": b'{"generation":1,"reset":true,"instances":[%s{}]}' % (b"{}," * 690_000),
+    "arrays": b'{"generation":1,"reset":true,"instances":[%s{}]}' % (b"[]," * 690_000),
+}
+
 
 class MemoryMeter:
     """Samples the anonymous memory of a process until the block ends.
@@ -105,7 +115,7 @@
 
 @contextlib.asynccontextmanager
 async def measured_sidecar(
-    tmp_path: Path, limits: Limits
+    tmp_path: Path, limits: Limits, list_text: bytes = UNCHANGED
 ) -> AsyncIterator[tuple[SidecarProcess, MemoryMeter]]:
     """Run a sidecar with these limits; its endpoints receive requests at one address and answer none."""
     discovery, endpoint = await FakeServer().start(), await FakeServer().start()
@@ -115,7 +125,7 @@
     changes = {"limits": limits_document, "discovery": discovery.address, "known": known}
     async with running_sidecar(tmp_path, changes) as running:
         running.endpoint = endpoint
-        answering = asyncio.create_task(answer_discovery(discovery))
+        answering = asyncio.create_task(answer_discovery(discovery, list_text))
         meter = MemoryMeter(running.process.pid)
         sampling = asyncio.create_task(meter.run())
         yield running, meter
@@ -124,13 +134,13 @@
         answering.cancel()
 
 
-async def answer_discovery(discovery: FakeServer) -> None:
-    """Respond to polls and watches with no change, one a second."""
+async def answer_discovery(discovery: FakeServer, list_text: bytes) -> None:
+    """Respond to polls and watches with this text, each after a pause."""
     while True:
         received = await discovery.next_request()
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(PAUSE_S)
         with contextlib.suppress(RuntimeError):  # the sidecar has closed the connection
-            received.respond(200, endpoint_list(1, False))
+            received.respond(200, list_text)
 
 
 async def send_all(running: SidecarProcess, limits: Limits, kind: str) -> list[Client]:
@@ -185,3 +195,16 @@
         for client in clients:
             client.writer.transport.abort()
         assert meter.peak_mb <= limits.memory_mb
+
+
+@pytest.mark.time_limit_s(30.0)
+@pytest.mark.parametrize("limits", LIMITS.values(), ids=LIMITS)
+@pytest.mark.parametrize("kind", LISTS)
+async def test_memory_stays_within_the_limit_when_discovery_answers_with_long_lists(
+    kind: str, limits: Limits, tmp_path: Path
+) -> None:
+    """Guards against a list within the limit on its bytes that becomes a multiple of them in memory."""
+    async with measured_sidecar(tmp_path, limits, LISTS[kind]) as (running, meter):
+        await asyncio.sleep(2.0)
+        assert await readiness_status(await running.client()) == 200
+        assert meter.peak_mb <= limits.memory_mb
