Discovery: a response that could not be read no longer stays in memory

Cause: the error of a failed call refers by its traceback to the functions that ran, and so to the text of the response; one of them refers to the task that holds the error, which closes a cycle. JSON's own error, its context, holds the text as well. The watcher keeps the error while it pauses. And the client kept the last response until the next call. Change: drop_references takes traceback and context off an error that is kept; the watcher uses it as a call fails, and the transport as a connection does. The client drops its response as the call ends.

--- a/corkdoor/sidecar/discovery/client.py
+++ b/corkdoor/sidecar/discovery/client.py
@@ -121,7 +121,10 @@
         self._pending_response = asyncio.get_running_loop().create_future()
         head = f"GET {request.target} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n"
         connection.send(head.encode())
-        return await self._wait_for_response(self._pending_response, connection)
+        try:
+            return await self._wait_for_response(self._pending_response, connection)
+        finally:
+            self._pending_response = None  # it would keep the response until the next call
 
     async def _connect(self, timeout_s: float) -> Connection:
         if self._connection is None or self._connection.closed:
--- a/corkdoor/sidecar/discovery/watcher.py
+++ b/corkdoor/sidecar/discovery/watcher.py
@@ -18,6 +18,7 @@
 from corkdoor.sidecar.discovery.endpoint_list import EndpointList, ResolvedEndpoint
 from corkdoor.sidecar.discovery.errors import AnswerUnreadableError, DiscoveryError
 from corkdoor.sidecar.discovery.hedged_call import HedgedCall
+from corkdoor.sidecar.error_references import drop_references
 from corkdoor.sidecar.memory_budget import MemoryBudget
 from corkdoor.state_machine import TransitionTable
 
@@ -171,6 +172,7 @@
         return WatchRequest(self.known_generation, wait_ms)
 
     async def _fail(self, error: Exception) -> None:
+        drop_references(error)  # to the response, among others, while the watcher pauses
         kind = error.kind if isinstance(error, DiscoveryError) else WatchEventKind.FAILED
         log.warning(
             LogEvent(
--- a/corkdoor/sidecar/transport/stream.py
+++ b/corkdoor/sidecar/transport/stream.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 
+from corkdoor.sidecar.error_references import drop_references
 from corkdoor.sidecar.transport.receiver import READ_BYTES, Receiver
 from corkdoor.sidecar.transport.sender import Sender
 from corkdoor.sidecar.transport.socket_poller import INPUT, PEER_CLOSED, SocketPoller
@@ -137,8 +138,7 @@
         self._sender.discard()
         self._socket.close()
         if error is not None:
-            # They refer to the whole call stack, and so to the input, until the protocol has been notified.
-            error.__traceback__ = error.__context__ = None
+            drop_references(error)  # the protocol is notified later
         self._loop.call_soon(self._report_end, error)
 
     def _report_end(self, error: Exception | None) -> None:
--- a/tests/test_list_memory.py
+++ b/tests/test_list_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import tracemalloc
 
@@ -11,6 +12,7 @@
 from corkdoor.sidecar.discovery.client import DiscoveryClient, PollRequest
 from corkdoor.sidecar.discovery.errors import AnswerTooLargeError
 from corkdoor.sidecar.discovery.json_memory import close_decoding_bytes, decoding_bytes
+from corkdoor.sidecar.discovery.watcher import DiscoveryWatcher
 from corkdoor.sidecar.memory_budget import MemoryBudget
 from corkdoor.sidecar.resource_limits import ResourceLimits
 from tests.fake_server import FakeServer, endpoint_list, endpoint_row
@@ -83,3 +85,31 @@
     text = endpoint_list(1, True)[:-2] + b"%s{}]}" % (b"{}," * 500_000)
     with pytest.raises(AnswerTooLargeError):
         await read_list(text, limits.list_bytes)
+
+
+@pytest.mark.parametrize(
+    "text", [b"[" + b"1," * 500_000, b"[%s1]" % (b"{}," * 300_000)], ids=["noise", "objects"]
+)
+async def test_responses_that_could_not_be_read_do_not_stay_in_memory(text: bytes) -> None:
+    """Guards against errors that refer to the response and to themselves: only the collector freed them."""
+    discovery = await FakeServer().start()
+    host, _, port = discovery.address.rpartition(":")
+    failed = asyncio.Event()
+    budget = MemoryBudget(7 << 20)
+    watcher = DiscoveryWatcher(host, int(port), 1, 1.0, budget, lambda *_: failed.set())
+    gc.disable()
+    try:
+        for number in range(5):
+            watcher.start()
+            (await discovery.next_request()).respond(200, text)
+            await failed.wait()
+            failed.clear()
+            if number == 0:
+                tracemalloc.start()
+        kept, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+        watcher.stop()
+        discovery.server.close()
+    assert kept < len(text)
