Tests: the memory tests read the sidecar's log, which blocked it in longer runs

Cause: the memory tests did not read the sidecar's standard error. A pipe holds 64 KB; after some 15 s of floods it is full, the process blocks as it writes to its log, and no client gets an answer. Change: measured_sidecar reads the log to its end, and kills the process and awaits that in any case.

--- a/tests/memory_support.py
+++ b/tests/memory_support.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 import json
+import subprocess
 from collections.abc import AsyncIterator, Callable, Sequence
 from pathlib import Path
 from typing import NamedTuple
@@ -127,10 +128,23 @@
         answering = asyncio.create_task(answer_discovery(discovery, list_texts or (UNCHANGED,)))
         meter = MemoryMeter(running.process.pid)
         sampling = asyncio.create_task(meter.run())
-        yield running, meter
-        assert running.process.poll() is None
-        sampling.cancel()
-        answering.cancel()
+        # A full pipe would block the process.
+        reading_log = asyncio.create_task(asyncio.to_thread(read_to_end, running.process))
+        try:
+            yield running, meter
+            assert running.process.poll() is None
+        finally:
+            sampling.cancel()
+            answering.cancel()
+            running.process.kill()
+            await reading_log
+
+
+def read_to_end(process: subprocess.Popen[str]) -> None:
+    """Read the log of a process until it ends."""
+    assert process.stderr is not None
+    while process.stderr.readline():
+        pass
 
 
 async def answer_discovery(discovery: FakeServer, list_texts: Sequence[bytes]) -> None:
