Discovery: the bound on a list's memory holds for UTF-16 too

Cause: the decoder also takes JSON in UTF-16, in which an escaped character is not found by its two bytes, and a text is not ended by a quotation mark and a colon. The bound then counted one byte a character where four are taken: 364,256 for 652,690 by tracemalloc. Change: a NUL byte, which no JSON in UTF-8 has, makes the bound count four bytes a character and all keys as different. Measured: the new case of test_list_memory failed before (364256 >= 652690) and passes.

--- a/corkdoor/sidecar/discovery/json_memory.py
+++ b/corkdoor/sidecar/discovery/json_memory.py
@@ -14,6 +14,7 @@
 ARRAY_BYTES = 96
 VALUE_BYTES = 80  # a number or a text without its characters, and its slot in an array
 MAX_CHARACTER_BYTES = 4  # a character of a text that holds any character beyond ASCII
+NUL = b"\0"  # occurs in JSON in UTF-16 and UTF-32 only
 MAX_SHARED_KEYS = 64  # with more different keys, all are counted as different
 # A text, and the colon behind it if it is a key. The quantifiers are possessive, so that no state is saved.
 TEXT = re.compile(rb'("[^"\\]*+(?:\\.[^"\\]*+)*+")(\s*+:)?', re.DOTALL)
@@ -26,6 +27,8 @@
 
 def close_decoding_bytes(text: bytes) -> int:
     """Return a lower bound than `decoding_bytes` if the objects have the same keys; it takes longer."""
+    if NUL in text:
+        return decoding_bytes(text)  # texts look different in UTF-16
     keys: set[bytes] = set()
     for found in TEXT.finditer(text):
         if found[2] is not None:
@@ -37,7 +40,7 @@
 
 def _shared_bytes(text: bytes) -> int:
     """Return the memory of everything but the keys."""
-    is_ascii = text.isascii() and b"\\u" not in text
+    is_ascii = text.isascii() and b"\\u" not in text and NUL not in text
     character_bytes = 1 if is_ascii else MAX_CHARACTER_BYTES
     characters_bytes = 2 * character_bytes * len(text)  # all of the text once, and once more in its parts
     objects_bytes = text.count(b"{") * OBJECT_BYTES + text.count(b":") * SLOT_BYTES
--- a/tests/test_list_memory.py
+++ b/tests/test_list_memory.py
@@ -40,6 +40,7 @@
         pytest.param(b"{%s}" % b",".join(b'"%x":1' % i for i in range(10_930)), id="keys"),
         pytest.param(b"{%s}" % b",".join(b'":%x":1' % i for i in range(10_930)), id="keys with colons"),
         pytest.param(b"[%s]" % b",".join(ROW % ((i,) * 6) for i in range(2000)), id="rows of keys"),
+        pytest.param(('["%s\\ud83d\\ude00"]' % ("a" * 90_000)).encode("utf-16-le"), id="escape in UTF-16"),
         pytest.param(b'["%s\\ud83d\\ude00"]' % (b"a" * 90_000), id="escaped character"),
         pytest.param('["{}\U0001f600"]'.format("a" * 90_000).encode(), id="long character"),
     ],
