--- a/corkdoor/sidecar/discovery/json_memory.py
+++ b/corkdoor/sidecar/discovery/json_memory.py
@@ -26,7 +26,7 @@
 
 
 def close_decoding_bytes(text: bytes) -> int:
-    """Return a lower bound than `decoding_bytes` if the objects have the same keys; it takes longer."""
+    """Return a closer upper bound than `decoding_bytes` where objects share their keys; it takes longer."""
     if NUL in text:
         return decoding_bytes(text)  # texts look different in UTF-16
     keys: set[bytes] = set()
