Client input: a rejected line no longer stays in the parser until the connection closes

Cause: httptools keeps a line until its end. Change: the parser is dropped as the input ends, and not only as the connection closes. The two new cases failed before (15,185 bytes left after the end) and pass.

--- a/corkdoor/sidecar/clients/request_parser.py
+++ b/corkdoor/sidecar/clients/request_parser.py
@@ -113,14 +113,15 @@
             return
         ending = TRUNCATED if self.is_receiving else ENDED
         self.state = INPUT_TRANSITIONS.check(self.state, ending)
+        self._parser = None  # it keeps an unfinished line
         self._discard_request()
 
     def close(self) -> None:
-        """Close the parser, and drop the sink, which refers back to it."""
+        """Parse no further input, and drop the sink, which refers back to the parser."""
         self.end()
         if self.state is not CLOSED:
             self.state = INPUT_TRANSITIONS.check(self.state, CLOSED)
-        self._parser = self._sink = self._error = None
+        self._sink = None
 
     def on_message_begin(self) -> None:
         """Start a request, and notify the sink."""
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -167,6 +167,22 @@
     return harness.parser.memory_bytes + sum(request.memory_bytes for request in harness.sink.requests)
 
 
+@pytest.mark.parametrize("beginning", [b"", b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"])
+def test_unfinished_line_is_released_when_input_ends(beginning: bytes) -> None:
+    """Guards against a line that httptools keeps after its rejection, until the connection closes."""
+    harness = ParserHarness()
+    tracemalloc.start()
+    try:
+        harness.feed(b"PUT / HTTP/1.1\r\n" + beginning + b"A: " + b"a" * 15_000)
+        held, _ = tracemalloc.get_traced_memory()
+        harness.parser.end()
+        left, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert held >= 15_000
+    assert left < 1_000  # the new, empty parts of the parser
+
+
 def test_head_is_released_when_input_ends_within_a_request() -> None:
     """Guards against a rejected head that stays in memory until its connection has closed."""
     harness = ParserHarness()
