--- a/corkdoor/sidecar/clients/request_parser.py
+++ b/corkdoor/sidecar/clients/request_parser.py
@@ -11,12 +11,20 @@
 from corkdoor.sidecar.clients.errors import HTTPError
 from corkdoor.sidecar.clients.states import INPUT_TRANSITIONS, InputState
 from corkdoor.sidecar.http_fields import OPTIONAL_WHITESPACE
+from corkdoor.sidecar.http_lines import (
+    PROTOCOL_BYTES,
+    head_end,
+    is_request_line_end,
+    line_end,
+    names_other_protocol,
+)
 from corkdoor.sidecar.memory_budget import HEADER_FIELD_BYTES, MESSAGE_BYTES, growing_bytes
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 16 * 1024
 HEADER_OVERHEAD_BYTES = 32  # added to the size of each header, since many tiny headers fill memory too
 HEAD_TOO_LONG = "the headers are too long"
+OTHER_PROTOCOL = "HTTP/1.0 or 1.1 only"
 HTTP_VERSIONS = ("1.0", "1.1")
 IDLE, HEAD, BODY, ENDED, TRUNCATED, CLOSED = InputState  # module-level names: looking up enum members is slow
 HEAD_STATES = frozenset((IDLE, HEAD))
@@ -47,9 +55,12 @@
     __slots__ = (
         "_arrived_us",
         "_body",
+        "_body_bytes",
         "_error",
         "_head_bytes",
         "_headers",
+        "_is_first_line_complete",
+        "_line_tail",
         "_parser",
         "_sink",
         "_target",
@@ -68,6 +79,9 @@
         # Bytes fed of a head that is not complete, or of what follows the last part of a chunked body.
         self._unfinished_bytes = 0
         self._body = bytearray()
+        self._body_bytes = 0  # the length that the request states for its body
+        self._is_first_line_complete = False
+        self._line_tail = b""  # the end of the first line, as far as it has arrived
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
 
     @property
@@ -98,7 +112,7 @@
         was_in_head, body_bytes = self.state in HEAD_STATES, len(self._body)
         upgrade_requested = False
         try:
-            parser.feed_data(data)
+            self._feed_steps(parser, bytes(data))
         except httptools.HttpParserUpgrade:
             upgrade_requested = True  # the request is complete, and its response closes the connection
         except httptools.HttpParserError:
@@ -107,6 +121,51 @@
         if upgrade_requested:
             self.end()
 
+    def _feed_steps(self, parser: httptools.HttpRequestParser, data: bytes) -> None:
+        """Feed input in steps of which each ends where a request line or a request may end."""
+        start = self._feed_complete_lines(parser, data)
+        while start < len(data):
+            end = self._step_end(data, start)
+            step = data[start:end]
+            parser.feed_data(step)
+            if not self._is_first_line_complete:
+                self._check_first_line(step)
+            start = end
+
+    def _feed_complete_lines(self, parser: httptools.HttpRequestParser, data: bytes) -> int:
+        """Feed complete lines in one step if no request line among them can be of another protocol.
+
+        Returns:
+            The size of the step.
+        """
+        if self._line_tail or names_other_protocol(data):
+            return 0
+        size = data.rfind(b"\n") + 1
+        if size:
+            parser.feed_data(data[:size])
+            self._is_first_line_complete = self.state is not IDLE
+        return size
+
+    def _step_end(self, data: bytes, start: int) -> int:
+        """Return the index behind the step that begins at `start`."""
+        missing_body_bytes = self._body_bytes - len(self._body)
+        if self.state is BODY and missing_body_bytes > 0:
+            return start + missing_body_bytes
+        if self.state is HEAD and self._is_first_line_complete and start:
+            return head_end(data, start)
+        return line_end(data, start)
+
+    def _check_first_line(self, step: bytes) -> None:
+        """Reject a request line of a protocol that httptools parses as well."""
+        if self.state is IDLE:
+            return  # empty lines before a request
+        self._line_tail = (self._line_tail + step)[-PROTOCOL_BYTES:]
+        if not step.endswith(b"\n"):
+            return
+        self._is_first_line_complete = True
+        if not is_request_line_end(self._line_tail):
+            raise HTTPError(HTTPStatus.BAD_REQUEST, OTHER_PROTOCOL)
+
     def end(self) -> None:
         """Parse no further input."""
         if self.has_ended:
@@ -149,14 +208,16 @@
         """Check the HTTP version, the transfer coding and the length of the body."""
         self.state = INPUT_TRANSITIONS.check(self.state, BODY)
         if self._parser is not None and self._parser.get_http_version() not in HTTP_VERSIONS:
-            self._fail(HTTPStatus.BAD_REQUEST, "HTTP/1.0 or 1.1 only")
+            self._fail(HTTPStatus.BAD_REQUEST, OTHER_PROTOCOL)
         for name, value in self._headers:
             key = name.lower()
             if key == b"transfer-encoding" and value.lower() != b"chunked":
                 # httptools accepts other codings.
                 self._fail(HTTPStatus.BAD_REQUEST, "transfer-encoding: chunked only")
-            if key == b"content-length" and int(value) > MAX_BODY_BYTES:  # httptools has checked the digits
-                self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
+            if key == b"content-length":
+                self._body_bytes = int(value)  # httptools has checked the digits
+                if self._body_bytes > MAX_BODY_BYTES:
+                    self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, within the limit."""
@@ -186,7 +247,8 @@
 
     def _discard_request(self) -> None:
         self._target, self._headers, self._body = b"", [], bytearray()
-        self._head_bytes = self._unfinished_bytes = 0
+        self._head_bytes = self._unfinished_bytes = self._body_bytes = 0
+        self._is_first_line_complete, self._line_tail = False, b""
         self._error = None  # its traceback refers to the input
 
     def _count_unfinished(self, size: int, was_in_head: bool, body_bytes: int) -> None:
--- a/corkdoor/sidecar/upstream/response_reader.py
+++ b/corkdoor/sidecar/upstream/response_reader.py
@@ -11,6 +11,13 @@
 import httptools
 
 from corkdoor.sidecar.http_fields import OPTIONAL_WHITESPACE
+from corkdoor.sidecar.http_lines import (
+    PROTOCOL_BYTES,
+    begins_with_final_status,
+    head_end,
+    is_status_line_begin,
+    line_end,
+)
 from corkdoor.sidecar.memory_budget import (
     HEADER_FIELD_BYTES,
     MAX_EXPANSION,
@@ -66,6 +73,8 @@
     Attributes:
         phase: the progress of the response.
         headers: the header fields.
+        is_status_line_complete: whether the status line has arrived; an interim response has one of its own.
+        line_begin: the beginning of the status line, as far as it has arrived.
         head_bytes: the bytes of the head received so far, including interim responses.
         framing_bytes: the bytes received since the last part of the body.
         body: the part of the body received so far.
@@ -73,11 +82,16 @@
         complete: the complete response; None: it is incomplete.
     """
 
-    __slots__ = ("body", "complete", "framing_bytes", "head_bytes", "headers", "keep_alive", "phase")
+    __slots__ = (
+        "body", "complete", "framing_bytes", "head_bytes", "headers", "is_status_line_complete", "keep_alive",
+        "line_begin", "phase",
+    )  # fmt: skip
 
     def __init__(self) -> None:
         self.phase: ResponsePhase = HEAD
         self.headers: list[tuple[bytes, bytes]] = []
+        self.is_status_line_complete = False
+        self.line_begin = b""
         self.head_bytes = 0
         self.framing_bytes = 0
         self.body = bytearray()
@@ -137,7 +151,7 @@
             self._memory.budget.refusals += 1
             raise MemoryShortageError("no memory is left for a response")
         try:
-            parser.feed_data(data)
+            self._feed_lines(parser, bytes(data))
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # Bytes after a complete response do not invalidate it, but the connection can't be used again.
             if partial.complete is None:
@@ -150,6 +164,34 @@
                 self._check_framing_size(size, len(partial.body) - body_bytes)
             self._memory.resize(partial.memory_bytes)
 
+    def _feed_lines(self, parser: httptools.HttpResponseParser, data: bytes) -> None:
+        """Feed input; each status line is a step of its own, and so is the rest of each head."""
+        start, partial = 0, self._partial
+        if not partial.head_bytes and begins_with_final_status(data):
+            partial.is_status_line_complete = True  # and no other one follows
+            parser.feed_data(data)
+            return
+        while start < len(data) and partial.phase is HEAD:
+            in_status_line = not partial.is_status_line_complete
+            end = line_end(data, start) if in_status_line or not start else head_end(data, start)
+            step = data[start:end]
+            parser.feed_data(step)
+            if in_status_line:
+                self._check_status_line(step)
+            start = end
+        if start < len(data):
+            parser.feed_data(data[start:])
+
+    def _check_status_line(self, step: bytes) -> None:
+        """Reject a status line of a protocol that httptools parses as well."""
+        partial = self._partial
+        partial.line_begin = (partial.line_begin + step).lstrip(b"\r\n")[:PROTOCOL_BYTES]
+        if not partial.line_begin or not step.endswith(b"\n"):
+            return
+        if not is_status_line_begin(partial.line_begin):
+            raise MalformedResponseError("status line is not one of HTTP/1.0 or 1.1")
+        partial.is_status_line_complete = True
+
     def feed_eof(self) -> Response | None:
         """Return the response that ends with the connection, if there is one."""
         partial = self._partial
@@ -239,6 +281,7 @@
         status = parser.get_status_code()
         if status < _FIRST_FINAL_STATUS:
             self._partial.headers = []
+            self._partial.is_status_line_complete, self._partial.line_begin = False, b""
             return
         self._partial.keep_alive = parser.should_keep_alive()  # a later call would refer to the next message
         self._finish(status)
--- a/tests/test_client_requests.py
+++ b/tests/test_client_requests.py
@@ -16,6 +16,8 @@
     pytest.param("nonsense\r\n\r\n", 400, id="no request line"),
     pytest.param("POST /pay HTTP/2.0\r\n\r\n", 400, id="other version"),
     pytest.param("GET /look\r\n\r\n", 400, id="no version"),
+    pytest.param(HEAD.replace("HTTP/", "RTSP/") + "Content-Length: 1\r\n\r\nx", 400, id="RTSP"),
+    pytest.param("SOURCE /look ICE/1.0\r\n\r\n", 400, id="ICE"),
     pytest.param(HEAD + "Content-Length: 5\r\n" + CHUNKED + "0\r\n\r\n", 400, id="both lengths"),
     pytest.param(
         HEAD + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n",
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -44,6 +44,10 @@
             self.parser.feed(memoryview(data), NOW_US)
             self.parsed_bytes += len(data)
 
+    def feed_in_steps(self, data: bytes, step: int) -> None:
+        for offset in range(0, len(data), step):
+            self.feed(data[offset : offset + step])
+
 
 def test_parser_passes_through_its_states_when_a_request_arrives_in_parts() -> None:
     harness = ParserHarness()
@@ -196,3 +200,44 @@
         tracemalloc.stop()
     assert harness.parser.memory_bytes == 0
     assert held - left >= 400 * (sys.getsizeof(b"aa") + sys.getsizeof(b"xy"))
+
+
+OTHER_PROTOCOLS = ("RTSP/1.0", "RTSP/1.1", "ICE/1.0")
+# Bodies after which the next request line begins, or that look like one.
+FIRST_REQUESTS = {
+    "none": b"",
+    "empty lines": b"\r\n\r\n",
+    "no body": b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n",
+    "length": b"POST /up HTTP/1.1\r\nHost: a\r\nContent-Length: 16\r\n\r\nGET /a RTSP/1.0\n",
+    "no line end": b"POST /up HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\nRTSP/1",
+    "chunks": b"POST /up HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n\n\n\r\n0\r\nA: RTSP/1.0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("step", [1, 7, 1000])
+@pytest.mark.parametrize("first", FIRST_REQUESTS.values(), ids=FIRST_REQUESTS)
+@pytest.mark.parametrize("protocol", OTHER_PROTOCOLS)
+def test_request_line_of_another_protocol_is_rejected_wherever_it_begins(
+    protocol: str, first: bytes, step: int
+) -> None:
+    """Guards against serving a peer of another protocol, which httptools parses like HTTP (review case 9)."""
+    method = "SOURCE" if protocol.startswith("ICE") else "GET"
+    data = first + f"{method} /look {protocol}\r\nHost: a\r\n\r\n".encode()
+    harness = ParserHarness()
+    with pytest.raises(HTTPError, match=r"HTTP/1.0 or 1.1 only"):
+        harness.feed_in_steps(data, step)
+    assert len(harness.sink.requests) == (b"/up" in first)
+
+
+@pytest.mark.parametrize("step", [1, 7, 1000])
+def test_requests_that_only_mention_another_protocol_are_parsed(step: int) -> None:
+    """Guards against taking a target, a header or a body for the protocol."""
+    requests = [
+        b"GET /RTSP/1.0 HTTP/1.1\r\nVia: a RTSP/1.0\r\n\r\n",
+        b"\r\nPOST /a HTTP/1.0\r\nConnection: keep-alive\r\nContent-Length: 17\r\n\r\nGET /a RTSP/1.0\r\n",
+        FIRST_REQUESTS["chunks"],
+        b"GET /a HTTP/1.1\r\n\r\n",
+    ]
+    harness = ParserHarness()
+    harness.feed_in_steps(b"".join(requests), step)
+    assert [request.body for request in harness.sink.requests] == [b"", b"GET /a RTSP/1.0\r\n", b"\n\n", b""]
--- a/tests/test_response_reader.py
+++ b/tests/test_response_reader.py
@@ -25,6 +25,10 @@
     return ResponseReader(budget, max_body_bytes), budget
 
 
+def feed_in_steps(responses: ResponseReader, data: bytes, step: int) -> list[Response | None]:
+    return [responses.feed(data[offset : offset + step]) for offset in range(0, len(data), step)]
+
+
 @pytest.mark.parametrize("size", [1, 7, len(COMPLETE)])
 def test_response_is_complete_at_its_last_byte_and_another_can_follow(size: int) -> None:
     responses, budget = reader()
@@ -129,3 +133,31 @@
     responses, _ = reader(limit_bytes=1 << 24)
     with pytest.raises(HeadTooLargeError):
         responses.feed(b"HTTP/1.1 200 OK\r\n" + b"aa:xy\r\n" * 4000 + b"\r\n")
+
+
+@pytest.mark.parametrize("step", [1, 7, 1000])
+@pytest.mark.parametrize("protocol", [b"RTSP/1.0", b"ICE/1.1", b"HTTP/0.9", b"HTTP/2.0"])
+@pytest.mark.parametrize("before", [b"", b"\r\n", b"HTTP/1.1 103 Early Hints\r\n\r\n", COMPLETE])
+def test_status_line_of_another_protocol_is_malformed_wherever_it_begins(
+    before: bytes, protocol: bytes, step: int
+) -> None:
+    """Guards against taking the response of another protocol for one of HTTP (review case 9)."""
+    responses, _ = reader()
+    if before is COMPLETE:
+        assert responses.feed(COMPLETE) is not None
+        responses.reset()
+        before = b""
+    data = before + COMPLETE.replace(b"HTTP/1.1", protocol)
+    with pytest.raises(MalformedResponseError):
+        feed_in_steps(responses, data, step)
+
+
+@pytest.mark.parametrize("step", [1, 7, 1000])
+def test_response_that_only_mentions_another_protocol_is_read(step: int) -> None:
+    interim = b"\r\nHTTP/1.1 103 RTSP/1.0\r\n\r\n"
+    data = interim + b"HTTP/1.1 200 X\r\nContent-Length: 9\r\nVia: RTSP/1.0\r\n\r\nICE/1.0\r\n"
+    responses, _ = reader()
+    *early, last = feed_in_steps(responses, data, step)
+    assert not any(early)
+    assert last is not None
+    assert last.body == b"ICE/1.0\r\n"
--- a/tests/test_response_validity.py
+++ b/tests/test_response_validity.py
@@ -18,6 +18,13 @@
 MALFORMED = [
     ("noise", b"\x00\x01\xfe noise\r\n\r\n"),
     ("other protocol", b"ICY 200 OK\r\nContent-Length: 4\r\n\r\ngood"),
+    ("RTSP", b"RTSP/1.0 200 OK\r\nContent-Length: 4\r\n\r\ngood"),
+    ("ICE", b"ICE/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"),
+    ("HTTP/2", b"HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\ngood"),
+    (
+        "RTSP after an interim response",
+        b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nRTSP/1.0 200 OK\r\nContent-Length: 4\r\n\r\ngood",
+    ),
     ("status not a number", b"HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\ngood"),
     ("header without colon", STATUS_LINE + b"none here\r\nContent-Length: 4\r\n\r\ngood"),
     ("two lengths", STATUS_LINE + b"Content-Length: 2\r\nContent-Length: 4\r\n\r\ngood"),
