Clients: input has a class of its own, apart from the connection

Change: RequestInput (clients/request_input.py) owns flow control, the memory reservation, the parser and the backlog of one client; ClientConnection serves requests, writes responses and closes. No change of behaviour: the methods moved with their bodies, and the connection passes on what others ask for.

--- a/corkdoor/sidecar/clients/connection.py
+++ b/corkdoor/sidecar/clients/connection.py
@@ -8,16 +8,14 @@
 from typing import TYPE_CHECKING
 
 from corkdoor.log_events import LogEvent
-from corkdoor.sidecar.clients.backlog import PARSE_CHUNK_BYTES, Backlog, IncomingRequest
+from corkdoor.sidecar.clients.backlog import IncomingRequest
 from corkdoor.sidecar.clients.close_reason import CloseReason
 from corkdoor.sidecar.clients.errors import HTTPError
-from corkdoor.sidecar.clients.read_flow import ReadFlow
-from corkdoor.sidecar.clients.request_parser import RequestParser
+from corkdoor.sidecar.clients.request_input import RequestInput
 from corkdoor.sidecar.clients.responses import encode_response
 from corkdoor.sidecar.clients.states import CLIENT_TRANSITIONS, OUTPUT_TRANSITIONS, ClientState, OutputState
 from corkdoor.sidecar.clock import now_us
 from corkdoor.sidecar.invariants import Invariant
-from corkdoor.sidecar.memory_budget import MAX_EXPANSION, READ_AHEAD_SHARE, REQUEST_SHARE, MemoryReservation
 from corkdoor.sidecar.proxied_request import ProxiedRequest
 from corkdoor.sidecar.request_registry import NO_MEMORY_RETRY_AFTER_S
 from corkdoor.sidecar.transport.stream import StreamTransport
@@ -38,55 +36,42 @@
     """
 
     __slots__ = (
-        "_backlog",
         "_client_state",
-        "_input_arrived_us",
+        "_input",
         "_keep_alive",
-        "_memory",
         "_output_state",
-        "_parser",
-        "_read_flow",
         "_server",
         "current_request",
-        "input_read_us",
         "phase_started_us",
         "request_id",
         "transport",
     )
 
     def __init__(self, server: Server) -> None:
-        now = now_us()
         self.current_request: ProxiedRequest | None = None  # the request that is being served
         # The time of the latest of these events: the client connected, began a request, became idle, stopped
         # reading its responses or disconnected, or the last response before a close was written.
-        self.phase_started_us = now
+        self.phase_started_us = now_us()
         self.request_id = b""  # the id that the client gave the current or last request
         self._server = server
         self._keep_alive = True  # whether the connection may stay open after the current request
         self._client_state = NEW
         self._output_state = FLOWING
-        self.input_read_us = now  # when input was last read
-        self._input_arrived_us = now  # earliest arrival of the input that is being parsed, or was read last
-        self._memory = MemoryReservation(server.budget)
-        self._backlog = Backlog()
-        self._parser = RequestParser(self)
+        self._input = RequestInput(self, server.budget)
 
     # Methods of `StreamProtocol`, which the transport calls.
 
     def connection_made(self, transport: StreamTransport) -> None:
         """Register the connection; one is evicted if there are too many."""
         self.transport = transport
-        self._read_flow = ReadFlow(transport)
+        self._input.attach(transport)
         self._server.clients.add(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse input, and serve the next request if none is being served."""
-        if self._parser.has_ended:
+        if self._input.has_ended:
             return
-        self.input_read_us = now_us()
-        self._input_arrived_us = self._read_flow.record_read(len(data), self.input_read_us)
-        self._backlog.add_input(data)
-        self._parse()
+        self._input.receive(data)
         self._serve_next()
         self.update_memory()
 
@@ -103,7 +88,7 @@
         """Serve no request until the buffered responses are sent, so that unread ones don't accumulate."""
         self._set_output_state(BLOCKED)
         self.phase_started_us = now_us()
-        self._read_flow.pause()
+        self._input.pause()
 
     def resume_writing(self) -> None:
         """Continue to serve requests, but not within this call."""
@@ -113,21 +98,20 @@
     def connection_lost(self, _error: Exception | None) -> None:
         """Drop all requests, and release the resources of the connection."""
         self.drop_requests()
-        self._parser.close()
         self._server.clients.remove(self)
-        self._memory.release()
+        self._input.close()
 
     # State of the connection.
 
     @property
     def is_busy(self) -> bool:
         """Whether a request is being served, is waiting, or is incomplete."""
-        return self.current_request is not None or self.is_receiving or bool(self._backlog)
+        return self.current_request is not None or self.is_receiving or self.has_backlog
 
     @property
     def is_receiving(self) -> bool:
         """Whether the last request has been received only in part."""
-        return self._parser.is_receiving
+        return self._input.is_receiving
 
     @property
     def is_new(self) -> bool:
@@ -137,7 +121,7 @@
     @property
     def is_reading_paused(self) -> bool:
         """Whether reading is paused."""
-        return self._read_flow.is_paused
+        return self._input.is_paused
 
     @property
     def is_output_blocked(self) -> bool:
@@ -147,22 +131,27 @@
     @property
     def holds_memory(self) -> bool:
         """Whether any of the memory budget is reserved for input or output."""
-        return self._memory.held_bytes > 0
+        return self._input.holds_memory
 
     @property
     def has_input_ended(self) -> bool:
         """Whether no further input is parsed."""
-        return self._parser.has_ended
+        return self._input.has_ended
+
+    @property
+    def input_read_us(self) -> int:
+        """When input was last read."""
+        return self._input.read_us
 
     @property
     def has_backlog(self) -> bool:
         """Whether any input that was read waits behind the request that is being served."""
-        return bool(self._backlog)
+        return self._input.has_backlog
 
     @property
     def waiting_requests(self) -> int:
         """The number of complete requests that wait behind the one that is being served."""
-        return len(self._backlog.requests)
+        return self._input.waiting_requests
 
     def has_unread_input(self) -> bool:
         """Whether input waits in the kernel.
@@ -190,61 +179,23 @@
             self.phase_started_us = now_us()
         self._server.clients.set_busy(self)
 
-    def on_request_complete(self, request: IncomingRequest) -> None:
-        """Queue a request; it is served after all input of the same read has been parsed."""
-        self._backlog.requests.append(request)
-
-    def _parse(self) -> None:
-        backlog, parser = self._backlog, self._parser
-        while backlog.unparsed and not backlog.is_full and not parser.has_ended:
-            if not self._has_memory_to_parse():
-                self._wait_for_memory()
-                return
-            try:
-                parser.feed(backlog.take_chunk(), self._input_arrived_us)
-            except HTTPError as error:
-                self.reject_input(error)
-            if backlog.unparsed:
-                self.update_memory()
-
-    def _has_memory_to_parse(self) -> bool:
-        """Whether the budget has room for whatever the next chunk of input may become."""
-        size = MAX_EXPANSION * min(len(self._backlog.unparsed), PARSE_CHUNK_BYTES)
-        return self._memory.budget.has_room(size, READ_AHEAD_SHARE if self._has_request() else REQUEST_SHARE)
-
-    def _has_request(self) -> bool:
-        """Whether a complete request is being served or waits."""
-        return self.current_request is not None or bool(self._backlog.requests)
-
-    def _wait_for_memory(self) -> None:
-        """Leave the input unparsed until the requests before it have their responses.
-
-        If there are none, the input is rejected.
-        """
-        if self._has_request():
-            return
-        self._memory.budget.refusals += 1
-        # 503 promises that the request was not forwarded.
-        self._reject(HTTPError(HTTPStatus.SERVICE_UNAVAILABLE, "no memory is left"))
-
     def update_memory(self) -> None:
         """Reserve the memory that the input takes now, and the output that the client has not read."""
-        input_bytes = self._backlog.memory_bytes + self._parser.memory_bytes
-        self._memory.resize(input_bytes + self.transport.buffered_bytes())
+        self._input.update_memory()
 
     def _serve_next(self) -> None:
-        backlog = self._backlog
-        if backlog.requests and self.current_request is None and self._output_state is FLOWING:
-            self._serve(backlog.requests.pop(0))
-        if backlog.unparsed or backlog.is_full:
-            self._read_flow.pause()
+        if self.current_request is None and self._output_state is FLOWING:
+            incoming = self._input.take_request()
+            if incoming is not None:
+                self._serve(incoming)
+        self._input.pause_if_behind()
 
     def _serve(self, incoming: IncomingRequest) -> None:
         self._keep_alive = incoming.keep_alive
         try:
             request = self._server.admit(self, incoming)
         except HTTPError as error:
-            self._reject(error)
+            self.reject(error)
             return
         except Exception:
             # The request was not forwarded, but 503 would promise that it is safe to send again, which is
@@ -270,11 +221,12 @@
             if error.status == HTTPStatus.SERVICE_UNAVAILABLE:
                 # 503 would promise that the request before the rejected input never ran.
                 error = HTTPError(HTTPStatus.INTERNAL_SERVER_ERROR, error.reason)
-        self._reject(error)
+        self.reject(error)
 
-    def _reject(self, error: HTTPError) -> None:
+    def reject(self, error: HTTPError) -> None:
+        """Respond with an error, and forward none of the input."""
         self._keep_alive = False
-        self._end_input()
+        self._input.end()
         unavailable = error.status == HTTPStatus.SERVICE_UNAVAILABLE
         headers = [(b"Retry-After", NO_MEMORY_RETRY_AFTER_S)] if unavailable else []
         self.respond(error.status, headers, f"{error.reason}\n".encode())
@@ -284,19 +236,14 @@
 
         Nothing more is forwarded for the client, even if it could still read responses.
         """
-        if not self._parser.has_ended:
+        if not self._input.has_ended:
             self.phase_started_us = now_us()
-        self._end_input()
+        self._input.end()
         request, self.current_request = self.current_request, None
         if request is not None:
             self._server.admission.release(self.request_id)
             self._server.proxy.cancel(request)
 
-    def _end_input(self) -> None:
-        self._parser.end()
-        self._backlog.clear()
-        self.update_memory()
-
     # Responses.
 
     def respond(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
@@ -308,8 +255,8 @@
         if self.current_request is not None:
             self.current_request = None
             self._server.admission.release(self.request_id)
-        has_backlog = bool(self._backlog)
-        is_idle = not has_backlog and not self._parser.is_receiving
+        has_backlog = self._input.has_backlog
+        is_idle = not has_backlog and not self._input.is_receiving
         # Waiting requests were accepted too, so they are served even while the server closes connections.
         keep_alive = self._keep_alive and (has_backlog or not self._server.closes_connections())
         self.transport.write(encode_response(status, headers, body, keep_alive))
@@ -327,11 +274,10 @@
     def _resume(self) -> None:
         if self.is_output_blocked:
             return
-        self._parse()
+        self._input.parse()
         self._serve_next()
         self.update_memory()
-        if not self._backlog.is_full and not self._backlog.unparsed:
-            self._read_flow.resume()
+        self._input.resume_unless_behind()
 
     def _close_after_response(self) -> None:
         """Close the connection after its last response, once the client has had time to read it.
@@ -339,18 +285,18 @@
         Closing a socket with unread input resets the connection, and the response in transit would be lost.
         """
         is_input_unexpected = self.has_input_ended or self.is_receiving
-        self._end_input()
+        self._input.end()
         self.phase_started_us = now_us()  # timeouts count from here, since sending the response takes time
         if self.transport.is_closing():
             return
         if is_input_unexpected:
             self.transport.write_eof()
-            self._read_flow.resume()
+            self._input.resume()
         elif self.has_unread_input():
             # The next request has begun to arrive. Left unread, it makes the later close reset the
             # connection, so that the client sends the request elsewhere.
             self.transport.write_eof()
-            self._read_flow.pause()
+            self._input.pause()
         else:
             self.close(CloseReason.AFTER_RESPONSE)
 
@@ -380,7 +326,7 @@
 
     def evict(self) -> None:
         """Close the connection at once, to make room for another client."""
-        self._parser.end()
+        self._input.end_parsing()
         self.close(CloseReason.EVICTED, abort=True)
 
     def _set_output_state(self, state: OutputState) -> None:
