Status line: attempts sent while unread input could hide their client's close

Change: the counter attempts_client_uncertain, of attempts that are written while their client's connection is not read from and has had unread input for over 50 ms (RequestInput.may_hide_disconnect).

--- a/corkdoor/sidecar/attempt_sender.py
+++ b/corkdoor/sidecar/attempt_sender.py
@@ -100,6 +100,8 @@
         remaining_ms = (request.respond_by_us - now) // 1000
         violated = self._check_send(request, attempt, remaining_ms, now)
         if violated is None:
+            if request.client.may_have_disconnected():
+                self.counters["attempts_client_uncertain"] += 1
             return b"%sReq-Deadline-Ms: %d\r\n\r\n%s" % (request.head, remaining_ms, request.body)
         self._invariants.record_prevented(
             violated, f"request {request.client.label()} to {attempt.endpoint_id}"
--- a/corkdoor/sidecar/clients/connection.py
+++ b/corkdoor/sidecar/clients/connection.py
@@ -167,6 +167,10 @@
         """
         return self.transport.peer_closed()
 
+    def may_have_disconnected(self) -> bool:
+        """Whether input that is not read may hide the client's close."""
+        return self._input.may_hide_disconnect()
+
     def label(self) -> str:
         """Return the name of the current request in the log."""
         return self.request_id.decode("latin-1")
--- a/corkdoor/sidecar/clients/read_flow.py
+++ b/corkdoor/sidecar/clients/read_flow.py
@@ -28,6 +28,12 @@
         """Whether reading is paused."""
         return self._state is PAUSED
 
+    def unread_us(self) -> int:
+        """Return for how long input may have waited in the kernel, in microseconds; 0: none waits."""
+        if self._unread_since_us is None or not self.is_paused or not self._transport.has_input():
+            return 0
+        return now_us() - self._unread_since_us
+
     def pause(self) -> None:
         """Stop reading, and leave input in the kernel."""
         if self.is_paused or self._transport.is_closing():
--- a/corkdoor/sidecar/clients/request_input.py
+++ b/corkdoor/sidecar/clients/request_input.py
@@ -21,6 +21,11 @@
 from corkdoor.sidecar.transport.stream import StreamTransport
 
 
+# Unread input hides a client's close, which is behind it. After this time the client may have disconnected
+# for too long: an attempt must begin within 0.1 s of the close.
+MAX_UNREAD_US = 50_000
+
+
 class InputOwner(Protocol):
     """The connection to which the input belongs."""
 
@@ -104,6 +109,10 @@
         """Whether any of the memory budget is reserved for input or output."""
         return self._memory.held_bytes > 0
 
+    def may_hide_disconnect(self) -> bool:
+        """Whether input has been unread for so long that the client may have disconnected behind it."""
+        return self._read_flow.is_paused and self._read_flow.unread_us() > MAX_UNREAD_US
+
     # Reading and parsing.
 
     def receive(self, data: bytes) -> None:
--- a/corkdoor/sidecar/proxied_request.py
+++ b/corkdoor/sidecar/proxied_request.py
@@ -48,6 +48,9 @@
     def has_disconnected(self) -> bool:
         """Whether the client has disconnected, even if the event loop has not reported it yet."""
 
+    def may_have_disconnected(self) -> bool:
+        """Whether the client may have disconnected in a way that can't be seen at the moment."""
+
     def label(self) -> str:
         """Return what identifies the client's current request in the log."""
 
--- a/tests/test_endpoint_updates.py
+++ b/tests/test_endpoint_updates.py
@@ -30,6 +30,9 @@
     def has_disconnected(self) -> bool:
         return False
 
+    def may_have_disconnected(self) -> bool:
+        return False
+
     def label(self) -> str:
         return "d1"
 
--- a/tests/test_short_deadlines.py
+++ b/tests/test_short_deadlines.py
@@ -19,6 +19,9 @@
     def has_disconnected(self) -> bool:
         return False
 
+    def may_have_disconnected(self) -> bool:
+        return False
+
     def label(self) -> str:
         return "r1"
 
