--- a/corkdoor/sidecar/clients/connection.py
+++ b/corkdoor/sidecar/clients/connection.py
@@ -8,10 +8,10 @@
 from typing import TYPE_CHECKING
 
 from corkdoor.log_events import LogEvent
-from corkdoor.sidecar.clients.backlog import IncomingRequest
+from corkdoor.sidecar.clients.backlog import DiscardedRequest, IncomingRequest
 from corkdoor.sidecar.clients.close_reason import CloseReason
 from corkdoor.sidecar.clients.errors import HTTPError
-from corkdoor.sidecar.clients.request_input import RequestInput
+from corkdoor.sidecar.clients.request_input import MAX_UNREAD_US, NO_MEMORY, RequestInput
 from corkdoor.sidecar.clients.responses import encode_response
 from corkdoor.sidecar.clients.states import CLIENT_TRANSITIONS, OUTPUT_TRANSITIONS, ClientState, OutputState
 from corkdoor.sidecar.clock import now_us
@@ -40,6 +40,7 @@
         "_input",
         "_keep_alive",
         "_output_state",
+        "_responded_us",
         "_server",
         "current_request",
         "phase_started_us",
@@ -57,6 +58,7 @@
         self._keep_alive = True  # whether the connection may stay open after the current request
         self._client_state = NEW
         self._output_state = FLOWING
+        self._responded_us = 0  # when the last response was written
         self._input = RequestInput(self, server.budget)
 
     # Methods of `StreamProtocol`, which the transport calls.
@@ -163,8 +165,28 @@
     def has_disconnected(self) -> bool:
         """Whether the kernel has received the client's close, half-close or reset, even after unread input.
 
-        The event loop reports it later: after other events, and not at all while reading is paused.
+        The event loop reports it later: after other events, and not at all while reading is paused. Called
+        before an attempt is sent; unread input that may hide the close is read then.
         """
+        if self.transport.peer_closed():
+            return True
+        if not self._input.may_hide_disconnect():
+            return False
+        # A client that has closed its connection would have reset it on receiving a response.
+        self._input.read_on(may_discard=now_us() - self._responded_us > MAX_UNREAD_US)
+        return self.transport.peer_closed()
+
+    def check_disconnected(self) -> bool:
+        """Whether the client has disconnected; called repeatedly while reading is paused.
+
+        Input that may hide the close is read on. It may be discarded for that only if the current request
+        waits for an attempt.
+        """
+        request = self.current_request
+        if request is not None and not request.has_attempts_in_flight():
+            return self.has_disconnected()
+        if self._input.may_hide_disconnect():
+            self._input.read_on(may_discard=False)
         return self.transport.peer_closed()
 
     def may_have_disconnected(self) -> bool:
@@ -190,8 +212,13 @@
     def _serve_next(self) -> None:
         if self.current_request is None and self._output_state is FLOWING:
             incoming = self._input.take_request()
-            if incoming is not None:
+            if isinstance(incoming, IncomingRequest):
                 self._serve(incoming)
+            elif isinstance(incoming, DiscardedRequest):
+                self._keep_alive = incoming.keep_alive
+                self._respond_unavailable(NO_MEMORY)
+            elif incoming is not None:
+                self.reject(incoming)
         self._input.pause_if_behind()
 
     def _serve(self, incoming: IncomingRequest) -> None:
@@ -231,9 +258,14 @@
         """Respond with an error, and forward none of the input."""
         self._keep_alive = False
         self._input.end()
-        unavailable = error.status == HTTPStatus.SERVICE_UNAVAILABLE
-        headers = [(b"Retry-After", NO_MEMORY_RETRY_AFTER_S)] if unavailable else []
-        self.respond(error.status, headers, f"{error.reason}\n".encode())
+        if error.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            self._respond_unavailable(error.reason)
+        else:
+            self.respond(error.status, [], f"{error.reason}\n".encode())
+
+    def _respond_unavailable(self, reason: str) -> None:
+        headers = [(b"Retry-After", NO_MEMORY_RETRY_AFTER_S)]
+        self.respond(HTTPStatus.SERVICE_UNAVAILABLE, headers, f"{reason}\n".encode())
 
     def drop_requests(self) -> None:
         """Drop all requests of a client that has disconnected.
@@ -264,6 +296,7 @@
         # Waiting requests were accepted too, so they are served even while the server closes connections.
         keep_alive = self._keep_alive and (has_backlog or not self._server.closes_connections())
         self.transport.write(encode_response(status, headers, body, keep_alive))
+        self._responded_us = now_us()
         if self.transport.buffered_bytes():
             self.update_memory()
         if not keep_alive:
--- a/corkdoor/sidecar/clients/read_flow.py
+++ b/corkdoor/sidecar/clients/read_flow.py
@@ -60,5 +60,9 @@
         """
         arrived_us = read_us if self._unread_since_us is None else self._unread_since_us
         if size < self._transport.read_bytes:
-            self._unread_since_us = None  # the kernel holds no more input
+            self.record_empty(read_us)
         return arrived_us
+
+    def record_empty(self, time_us: int) -> None:
+        """Record that the kernel holds no input at this time."""
+        self._unread_since_us = time_us if self.is_paused else None
--- a/corkdoor/sidecar/clients/request_input.py
+++ b/corkdoor/sidecar/clients/request_input.py
@@ -5,14 +5,20 @@
 from http import HTTPStatus
 from typing import Protocol
 
-from corkdoor.sidecar.clients.backlog import PARSE_CHUNK_BYTES, Backlog, IncomingRequest
+from corkdoor.sidecar.clients.backlog import (
+    PARSE_CHUNK_BYTES,
+    Backlog,
+    DiscardedRequest,
+    IncomingRequest,
+)
 from corkdoor.sidecar.clients.errors import HTTPError
 from corkdoor.sidecar.clients.read_flow import ReadFlow
-from corkdoor.sidecar.clients.request_parser import RequestParser
+from corkdoor.sidecar.clients.request_parser import MAX_HEAD_BYTES, RequestParser
 from corkdoor.sidecar.clock import now_us
 from corkdoor.sidecar.memory_budget import (
     MAX_EXPANSION,
     READ_AHEAD_SHARE,
+    READ_ON_SHARE,
     REQUEST_SHARE,
     MemoryBudget,
     MemoryReservation,
@@ -20,10 +26,13 @@
 from corkdoor.sidecar.proxied_request import ProxiedRequest
 from corkdoor.sidecar.transport.stream import StreamTransport
 
-
+NO_MEMORY = "no memory is left"
 # Unread input hides a client's close, which is behind it. After this time the client may have disconnected
 # for too long: an attempt must begin within 0.1 s of the close.
 MAX_UNREAD_US = 50_000
+MAX_READ_ON_BYTES = 4 << 20  # what is read in one go at most: as much as a client's kernel buffers by default
+# The memory that parsing may take where nothing is kept: an unfinished line, and a chunk of input.
+DISCARD_BYTES = MAX_HEAD_BYTES + 2 * PARSE_CHUNK_BYTES
 
 
 class InputOwner(Protocol):
@@ -53,8 +62,8 @@
     """
 
     __slots__ = (
-        "_arrived_us",
         "_backlog",
+        "_error",
         "_memory",
         "_owner",
         "_parser",
@@ -64,9 +73,8 @@
     )
 
     def __init__(self, owner: InputOwner, budget: MemoryBudget) -> None:
-        now = now_us()
-        self.read_us = now  # when input was last read
-        self._arrived_us = now  # earliest arrival of the input that is being parsed, or was read last
+        self.read_us = now_us()  # when input was last read
+        self._error: HTTPError | None = None  # what is wrong with the input behind all complete requests
         self._owner = owner
         self._memory = MemoryReservation(budget)
         self._backlog = Backlog()
@@ -97,12 +105,12 @@
     @property
     def has_backlog(self) -> bool:
         """Whether any input that was read waits behind the request that is being served."""
-        return bool(self._backlog)
+        return bool(self._backlog) or self._error is not None
 
     @property
     def waiting_requests(self) -> int:
         """The number of complete requests that wait behind the one that is being served."""
-        return len(self._backlog.requests)
+        return self._backlog.waiting_requests
 
     @property
     def holds_memory(self) -> bool:
@@ -118,27 +126,74 @@
     def receive(self, data: bytes) -> None:
         """Take input that was read, and parse it as far as it may be parsed now."""
         self.read_us = now_us()
-        self._arrived_us = self._read_flow.record_read(len(data), self.read_us)
-        self._backlog.add_input(data)
+        self._backlog.add_input(data, self._read_flow.record_read(len(data), self.read_us))
         self.parse()
 
     def parse(self) -> None:
         """Parse the input that was read, within the limit on waiting requests and the memory budget."""
         backlog, parser = self._backlog, self._parser
-        while backlog.unparsed and not backlog.is_full and not parser.has_ended:
-            if not self._has_memory_to_parse():
+        while backlog.unparsed_chunks and not backlog.is_full and not parser.has_ended:
+            parser.discards = not self._has_memory_to_parse()
+            if parser.discards and not self._may_discard_next():
                 self._wait_for_memory()
                 return
+            chunk = backlog.take_chunk()
             try:
-                parser.feed(backlog.take_chunk(), self._arrived_us)
+                parser.feed(memoryview(chunk.data), chunk.arrived_us)
             except HTTPError as error:
                 self._owner.reject_input(error)
-            if backlog.unparsed:
+            if backlog.unparsed_chunks:
                 self.update_memory()
 
-    def take_request(self) -> IncomingRequest | None:
-        """Remove and return the request to serve next; None: no complete request waits."""
-        return self._backlog.requests.pop(0) if self._backlog.requests else None
+    def read_on(self, may_discard: bool) -> None:
+        """Read input while reading is paused, because the client's close may be behind it.
+
+        Input is kept unparsed as far as the budget has room. What has no room stays in the kernel, unless it
+        may be discarded: then it is parsed, so that each request can be rejected in its turn.
+        """
+        read_bytes = 0
+        while read_bytes < MAX_READ_ON_BYTES:
+            has_room = self._memory.budget.has_room(PARSE_CHUNK_BYTES, READ_ON_SHARE)
+            if not has_room and not (may_discard and self._has_memory_to_discard()):
+                return
+            data = self._transport.read_now()
+            now = now_us()
+            if not data:
+                self._read_flow.record_empty(now)
+                return
+            self.read_us = now
+            read_bytes += len(data)
+            arrived_us = self._read_flow.record_read(len(data), now)
+            if self._error is not None or self.has_ended:
+                continue  # nothing behind an error is served
+            self._backlog.add_input(data, arrived_us)
+            if not has_room:
+                self._parse_all()
+            self.update_memory()
+
+    def _parse_all(self) -> None:
+        """Parse the input that was read, whatever waits before it, and keep what the budget has room for."""
+        backlog, parser = self._backlog, self._parser
+        while backlog.unparsed_chunks:
+            parser.discards = not self._has_memory_to_keep()
+            chunk = backlog.take_chunk()
+            try:
+                parser.feed(memoryview(chunk.data), chunk.arrived_us)
+            except HTTPError as error:
+                self._error = error
+                backlog.drop_unparsed()
+            self.update_memory()
+
+    def take_request(self) -> IncomingRequest | DiscardedRequest | HTTPError | None:
+        """Remove and return the request to serve next, or the error behind the last one.
+
+        None: no complete request waits.
+        """
+        request = self._backlog.take_request()
+        if request is None and self._error is not None:
+            error, self._error = self._error, None
+            return error
+        return request
 
     def pause(self) -> None:
         """Stop reading, and leave input in the kernel."""
@@ -161,6 +216,7 @@
     def end(self) -> None:
         """Parse no further input, and discard the requests that wait."""
         self._parser.end()
+        self._error = None
         self._backlog.clear()
         self.update_memory()
 
@@ -186,21 +242,48 @@
 
     def on_request_complete(self, request: IncomingRequest) -> None:
         """Queue a request; it is served after all input of the same read has been parsed."""
-        self._backlog.requests.append(request)
+        self._backlog.add_request(request)
+
+    def on_request_discarded(self, keep_alive: bool) -> None:
+        """Queue the rejection of a request of which nothing was kept."""
+        self._memory.budget.refusals += 1
+        self._backlog.add_discarded_request(keep_alive)
 
     # Limits.
 
     def _is_behind(self) -> bool:
-        return bool(self._backlog.unparsed) or self._backlog.is_full
+        return self._backlog.unparsed_chunks > 0 or self._backlog.is_full or self._error is not None
 
     def _has_memory_to_parse(self) -> bool:
         """Whether the budget has room for whatever the next chunk of input may become."""
-        size = MAX_EXPANSION * min(len(self._backlog.unparsed), PARSE_CHUNK_BYTES)
+        size = MAX_EXPANSION * self._backlog.next_chunk_bytes()
         return self._memory.budget.has_room(size, READ_AHEAD_SHARE if self._has_request() else REQUEST_SHARE)
 
     def _has_request(self) -> bool:
         """Whether a complete request is being served or waits."""
-        return self._owner.current_request is not None or bool(self._backlog.requests)
+        return self._owner.current_request is not None or self._backlog.has_requests
+
+    def _has_memory_to_keep(self) -> bool:
+        """Whether what the next chunk of input becomes is kept, although other requests wait before it.
+
+        Input that was read on takes memory already. It may become larger while others take less than their
+        share of read-ahead.
+        """
+        budget, size = self._memory.budget, MAX_EXPANSION * self._backlog.next_chunk_bytes()
+        return budget.has_room(0, READ_AHEAD_SHARE) and budget.has_room(size, REQUEST_SHARE)
+
+    def _has_memory_to_discard(self) -> bool:
+        """Whether the budget has room for parsing where nothing is kept."""
+        return self._memory.budget.has_room(DISCARD_BYTES)
+
+    def _may_discard_next(self) -> bool:
+        """Whether the next chunk is parsed without memory for what it may become.
+
+        That is so where a part of its request is discarded already, and for input that was read on: it is not
+        left to a single rejection of all of it.
+        """
+        is_read_on = not self._has_request() and self._backlog.unparsed_chunks > 1
+        return (self._parser.is_discarding or is_read_on) and self._has_memory_to_discard()
 
     def _wait_for_memory(self) -> None:
         """Leave the input unparsed until the requests before it have their responses.
@@ -211,4 +294,4 @@
             return
         self._memory.budget.refusals += 1
         # 503 promises that the request was not forwarded.
-        self._owner.reject(HTTPError(HTTPStatus.SERVICE_UNAVAILABLE, "no memory is left"))
+        self._owner.reject(HTTPError(HTTPStatus.SERVICE_UNAVAILABLE, NO_MEMORY))
--- a/corkdoor/sidecar/clients/request_parser.py
+++ b/corkdoor/sidecar/clients/request_parser.py
@@ -24,6 +24,7 @@
 MAX_HEAD_BYTES = 16 * 1024
 HEADER_OVERHEAD_BYTES = 32  # added to the size of each header, since many tiny headers fill memory too
 HEAD_TOO_LONG = "the headers are too long"
+BODY_TOO_LONG = "the body is too long"
 OTHER_PROTOCOL = "HTTP/1.0 or 1.1 only"
 HTTP_VERSIONS = ("1.0", "1.1")
 IDLE, HEAD, BODY, ENDED, TRUNCATED, CLOSED = InputState  # module-level names: looking up enum members is slow
@@ -44,12 +45,19 @@
         """A request has been parsed to its last byte."""
         ...
 
+    def on_request_discarded(self, keep_alive: bool) -> None:
+        """A request of which nothing was kept has been parsed to its last byte."""
+        ...
+
 
 class RequestParser:
     """Parses one connection's input. httptools calls the methods that are named after its callbacks.
 
     Args:
         sink: receives the requests.
+
+    Attributes:
+        discards: whether nothing is kept of the requests that are parsed.
     """
 
     __slots__ = (
@@ -59,17 +67,22 @@
         "_error",
         "_head_bytes",
         "_headers",
+        "_is_discarded",
         "_is_first_line_complete",
         "_line_tail",
         "_parser",
+        "_received_body_bytes",
         "_sink",
         "_target",
         "_unfinished_bytes",
+        "discards",
         "state",
     )
 
     def __init__(self, sink: RequestSink) -> None:
         self.state = IDLE
+        self.discards = False
+        self._is_discarded = False  # whether any part of the current request was not kept
         self._sink: RequestSink | None = sink
         self._error: HTTPError | None = None  # raised in a callback; httptools raises its own error instead
         self._arrived_us = 0
@@ -79,6 +92,7 @@
         # Bytes fed of a head that is not complete, or of what follows the last part of a chunked body.
         self._unfinished_bytes = 0
         self._body = bytearray()
+        self._received_body_bytes = 0
         self._body_bytes = 0  # the length that the request states for its body
         self._is_first_line_complete = False
         self._line_tail = b""  # the end of the first line, as far as it has arrived
@@ -89,6 +103,11 @@
         """Whether the input is in the middle of a request, or has ended there."""
         return self.state in RECEIVING_STATES
 
+    @property
+    def is_discarding(self) -> bool:
+        """Whether the input is in the middle of a request that is discarded."""
+        return self._is_discarded
+
     @property
     def memory_bytes(self) -> int:
         """The memory that an incomplete request takes."""
@@ -109,7 +128,9 @@
         if parser is None:
             return
         self._arrived_us = arrived_us
-        was_in_head, body_bytes = self.state in HEAD_STATES, len(self._body)
+        if self.discards and self.state in MESSAGE_STATES:
+            self._discard_parts()
+        was_in_head, body_bytes = self.state in HEAD_STATES, self._received_body_bytes
         upgrade_requested = False
         try:
             self._feed_steps(parser, bytes(data))
@@ -148,7 +169,7 @@
 
     def _step_end(self, data: bytes, start: int) -> int:
         """Return the index behind the step that begins at `start`."""
-        missing_body_bytes = self._body_bytes - len(self._body)
+        missing_body_bytes = self._body_bytes - self._received_body_bytes
         if self.state is BODY and missing_body_bytes > 0:
             return start + missing_body_bytes
         if self.state is HEAD and self._is_first_line_complete and start:
@@ -186,12 +207,14 @@
         """Start a request, and notify the sink."""
         self.state = INPUT_TRANSITIONS.check(self.state, HEAD)
         self._head_bytes = self._unfinished_bytes = 0
+        self._is_discarded = self.discards
         if self._sink is not None:
             self._sink.on_request_begin()
 
     def on_url(self, target: bytes) -> None:
         """Append a part of the request target, within the size limit of the head."""
-        self._target += target
+        if not self._is_discarded:
+            self._target += target
         self._head_bytes += len(target)
         if self._head_bytes > MAX_HEAD_BYTES:
             self._fail(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, HEAD_TOO_LONG)
@@ -199,31 +222,27 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header. A trailer after a chunked body counts towards the limit, but is not forwarded."""
         if self.state is HEAD:
-            self._headers.append((name, value.strip(OPTIONAL_WHITESPACE)))  # httptools keeps trailing spaces
+            value = value.strip(OPTIONAL_WHITESPACE)  # httptools keeps trailing spaces
+            self._check_framing(name.lower(), value)
+            if not self._is_discarded:
+                self._headers.append((name, value))
         self._head_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
         if self._head_bytes > MAX_HEAD_BYTES:
             self._fail(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, HEAD_TOO_LONG)
 
     def on_headers_complete(self) -> None:
-        """Check the HTTP version, the transfer coding and the length of the body."""
+        """Check the HTTP version."""
         self.state = INPUT_TRANSITIONS.check(self.state, BODY)
         if self._parser is not None and self._parser.get_http_version() not in HTTP_VERSIONS:
             self._fail(HTTPStatus.BAD_REQUEST, OTHER_PROTOCOL)
-        for name, value in self._headers:
-            key = name.lower()
-            if key == b"transfer-encoding" and value.lower() != b"chunked":
-                # httptools accepts other codings.
-                self._fail(HTTPStatus.BAD_REQUEST, "transfer-encoding: chunked only")
-            if key == b"content-length":
-                self._body_bytes = int(value)  # httptools has checked the digits
-                if self._body_bytes > MAX_BODY_BYTES:
-                    self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, within the limit."""
-        if len(self._body) + len(body) > MAX_BODY_BYTES:
-            self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
-        self._body += body
+        self._received_body_bytes += len(body)
+        if self._received_body_bytes > MAX_BODY_BYTES:
+            self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, BODY_TOO_LONG)
+        if not self._is_discarded:
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the sink."""
@@ -232,6 +251,10 @@
             return
         self.state = INPUT_TRANSITIONS.check(self.state, IDLE)
         keep_alive = parser.should_keep_alive() and not parser.should_upgrade()
+        if self._is_discarded:
+            self._discard_request()
+            self._sink.on_request_discarded(keep_alive)
+            return
         method, body = parser.get_method(), bytes(self._body)
         memory_bytes = self._message_bytes()
         request = IncomingRequest(
@@ -242,12 +265,30 @@
 
     def _message_bytes(self) -> int:
         """Return the memory that the request takes as far as it has been parsed."""
+        if self._is_discarded:
+            return MESSAGE_BYTES
         fields_bytes = len(self._headers) * (HEADER_FIELD_BYTES - HEADER_OVERHEAD_BYTES)
         return MESSAGE_BYTES + fields_bytes + self._head_bytes + growing_bytes(len(self._body))
 
-    def _discard_request(self) -> None:
+    def _check_framing(self, key: bytes, value: bytes) -> None:
+        """Check the transfer coding, and the length of the body, if this header states it."""
+        if key == b"transfer-encoding" and value.lower() != b"chunked":
+            # httptools accepts other codings.
+            self._fail(HTTPStatus.BAD_REQUEST, "transfer-encoding: chunked only")
+        if key == b"content-length":
+            self._body_bytes = int(value)  # httptools has checked the digits
+            if self._body_bytes > MAX_BODY_BYTES:
+                self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, BODY_TOO_LONG)
+
+    def _discard_parts(self) -> None:
+        """Keep nothing of the current request; its limits still count what has been parsed."""
+        self._is_discarded = True
         self._target, self._headers, self._body = b"", [], bytearray()
-        self._head_bytes = self._unfinished_bytes = self._body_bytes = 0
+
+    def _discard_request(self) -> None:
+        self._discard_parts()
+        self._is_discarded = False
+        self._head_bytes = self._unfinished_bytes = self._body_bytes = self._received_body_bytes = 0
         self._is_first_line_complete, self._line_tail = False, b""
         self._error = None  # its traceback refers to the input
 
@@ -257,7 +298,7 @@
         The line may be one of the head, or one of the trailers after a chunked body.
         """
         in_head = was_in_head and self.state in HEAD_STATES
-        after_body = not was_in_head and self.state is BODY and len(self._body) == body_bytes
+        after_body = not was_in_head and self.state is BODY and self._received_body_bytes == body_bytes
         self._unfinished_bytes = self._unfinished_bytes + size if in_head or after_body else 0
         if self._unfinished_bytes > MAX_HEAD_BYTES + PARSE_CHUNK_BYTES:
             raise HTTPError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, HEAD_TOO_LONG)
--- a/corkdoor/sidecar/clients/timeouts.py
+++ b/corkdoor/sidecar/clients/timeouts.py
@@ -45,7 +45,11 @@
             longest_deadline_s: the longest deadline of any request class, in seconds.
             now_us: the current time, in microseconds.
         """
-        if connection.is_reading_paused and not connection.has_input_ended and connection.has_disconnected():
+        if (
+            connection.is_reading_paused
+            and not connection.has_input_ended
+            and connection.check_disconnected()
+        ):
             # While reading is paused, the event loop does not see the end of input, and the backlog would be
             # served although the client has disconnected.
             connection.drop_requests()
--- a/corkdoor/sidecar/memory_budget.py
+++ b/corkdoor/sidecar/memory_budget.py
@@ -18,6 +18,9 @@
 # The share for input that is parsed while an earlier request of its connection waits for its response. The
 # rest of REQUEST_SHARE is left to clients that wait for nothing.
 READ_AHEAD_SHARE = 0.4
+# The share for input that is kept unparsed while its connection is not read from. It is below
+# READ_AHEAD_SHARE, since parsed input takes more memory.
+READ_ON_SHARE = 0.35
 
 
 def growing_bytes(size: int) -> int:
--- a/corkdoor/sidecar/transport/receiver.py
+++ b/corkdoor/sidecar/transport/receiver.py
@@ -66,6 +66,18 @@
             self._set_state(READING)
             self._start_watching()
 
+    def read_now(self) -> bytes:
+        """Return input that the kernel holds, also while reading is paused.
+
+        Empty: there is none, or it has ended or failed. The end is reported once reading is resumed.
+        """
+        if self._state is ENDED:
+            return b""
+        try:
+            return self._socket.recv(self._read_bytes)
+        except OSError:
+            return b""
+
     def end(self) -> None:
         """Stop reading for good."""
         if self._state is not ENDED:
--- a/corkdoor/sidecar/transport/stream.py
+++ b/corkdoor/sidecar/transport/stream.py
@@ -77,6 +77,10 @@
         """Whether the kernel has received the peer's close, half-close or reset, even after unread input."""
         return self._state is not OPEN or self._poller.has(PEER_CLOSED, default=False)
 
+    def read_now(self) -> bytes:
+        """Return input that the kernel holds, also while reading is paused; empty: none, or its end."""
+        return self._receiver.read_now()
+
     def pause_reading(self) -> None:
         """Stop reading, and leave input in the kernel."""
         self._receiver.pause()
--- a/tests/test_request_parser.py
+++ b/tests/test_request_parser.py
@@ -22,6 +22,7 @@
 
     def __init__(self) -> None:
         self.begun_count = 0
+        self.discarded_count = 0
         self.requests: list[IncomingRequest] = []
 
     def on_request_begin(self) -> None:
@@ -30,6 +31,9 @@
     def on_request_complete(self, request: IncomingRequest) -> None:
         self.requests.append(request)
 
+    def on_request_discarded(self, keep_alive: bool) -> None:
+        self.discarded_count += 1
+
 
 class ParserHarness:
     """A parser with a sink."""
