Test of reloads during the start: wait for the shell's trap, not for a time

Cause: the test sent SIGHUP from 10 ms after it had started the shell, "the shell has started by then".

Change: the test waits until the kernel tells that the process ignores, blocks or handles SIGHUP. From then on it sends signals as before, and asks for the same.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -19,7 +19,7 @@
 from tests.fake_server import FakeServer, endpoint_list, endpoint_row
 from tests.sidecar_client import Client, readiness_status
 from tests.sidecar_process import SidecarProcess, running_sidecar
-from tests.sidecar_support import SETTINGS, run
+from tests.sidecar_support import SETTINGS, run, wait_until
 
 ROOT = Path(__file__).parent.parent
 
@@ -56,6 +56,13 @@
     return command.replace(".venv/bin/python", sys.executable)
 
 
+def withstands_sighup(pid: int) -> bool:
+    """Whether a process ignores, blocks or handles SIGHUP: the shell has run its trap, if not more."""
+    status = Path(f"/proc/{pid}/status").read_text(encoding="ascii")
+    masks = re.findall(r"^Sig(?:Ign|Blk|Cgt):\s*([0-9a-f]+)$", status, re.MULTILINE)
+    return any(int(mask, 16) >> (signal.SIGHUP - 1) & 1 for mask in masks)
+
+
 async def send_reloads_until_ready(process: subprocess.Popen[bytes], address: tuple[str, int]) -> None:
     """Send SIGHUP until the sidecar is ready: whoever replaces its file doesn't know that it is starting."""
     while process.poll() is None:
@@ -108,7 +115,7 @@
         environ = {**os.environ, "GW_CONFIG": str(path)}
         process = subprocess.Popen(["/bin/sh", "-c", run_command()], cwd=ROOT, env=environ)
         try:
-            await asyncio.sleep(0.01)  # the shell has started by then; before that it can't handle a signal
+            await wait_until(lambda: withstands_sighup(process.pid), 0.001)
             until_ready = asyncio.create_task(send_reloads_until_ready(process, address))
             await asyncio.sleep(replaced_after_s)
             path.with_suffix(".new").write_text(json.dumps(new_document), encoding="utf-8")
