Reading on yields to other events between clients, and leaves idle clients alone

The periodic check reads on for all clients in one step, up to 4 MB each, and did so too for a client whose responses are unread and for whom nothing waits.

Change: the check yields before each client that is not read from; input is read on only where a request is in service or waits.

--- a/corkdoor/sidecar/clients/connection.py
+++ b/corkdoor/sidecar/clients/connection.py
@@ -185,7 +185,7 @@
         request = self.current_request
         if request is not None and not request.has_attempts_in_flight():
             return self.has_disconnected()
-        if self._input.may_hide_disconnect():
+        if (request is not None or self.has_backlog) and self._input.may_hide_disconnect():
             self._input.read_on(may_discard=False)
         return self.transport.peer_closed()
 
--- a/corkdoor/sidecar/clients/server.py
+++ b/corkdoor/sidecar/clients/server.py
@@ -65,6 +65,12 @@
             await asyncio.sleep(self.timeouts.check_interval_s)
             now = now_us()
             for client in self.clients:
+                if client.is_reading_paused:
+                    await asyncio.sleep(
+                        0
+                    )  # input may be read on, which takes up to some milliseconds a client
+                    if client not in self.clients:
+                        continue
                 if client.holds_memory:
                     client.update_memory()  # the client may have read output meanwhile
                 self.timeouts.check(client, self.admission.longest_deadline_s, now)
--- a/tests/test_hidden_disconnects.py
+++ b/tests/test_hidden_disconnects.py
@@ -118,6 +118,47 @@
         client.close()
 
 
+@ends
+@budgets
+@check_intervals
+async def test_hedged_request_is_not_sent_when_its_client_has_left_behind_unread_input(
+    disconnect: Disconnect, held_bytes: int, check_interval_s: float
+) -> None:
+    """The first attempt stays in flight; the balancer asks for another one beside it."""
+    async with sidecar_with(held_bytes, check_interval_s, endpoints=2) as sidecar:
+        await open_idle_connections(sidecar, 1)
+        other = await sidecar.client()
+        client = await send_at_once(sidecar, large_requests())
+        received = await first_request(sidecar)
+        await leave(client, disconnect)
+        for request_id in list(sidecar.proxy.requests):
+            sidecar.proxy.send_attempt(request_id, "s-0")
+            sidecar.proxy.send_attempt(request_id, "s-1")
+        await asyncio.sleep(0.05)
+        assert sidecar.no_requests_pending()
+        received.respond()
+        await check_only_other_client_is_served(sidecar, other)
+        client.close()
+
+
+@ends
+@budgets
+@check_intervals
+async def test_queued_request_is_not_forwarded_during_a_shutdown_when_its_client_has_left_unseen(
+    disconnect: Disconnect, held_bytes: int, check_interval_s: float
+) -> None:
+    async with sidecar_with(held_bytes, check_interval_s) as sidecar:
+        sidecar.deliver_endpoints()
+        other = await sidecar.client()
+        client = await send_at_once(sidecar, large_requests())
+        await wait_until_queued(sidecar, 1)
+        sidecar.start_closing_connections()
+        await leave(client, disconnect)
+        sidecar.deliver_all_endpoints()
+        await check_only_other_client_is_served(sidecar, other)
+        client.close()
+
+
 @ends
 @shapes
 @check_intervals
