--- a/corkdoor/sidecar/graceful_shutdown.py
+++ b/corkdoor/sidecar/graceful_shutdown.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from corkdoor.log_events import LogEvent
@@ -50,9 +51,16 @@
         return max(self.min_draining_s, self.draining_share * self.reject_after_s(longest_deadline_s))
 
 
-async def shut_down(server: Server, proxy: Proxy, timeouts: ShutdownTimeouts | None = None) -> None:
+async def shut_down(
+    server: Server,
+    proxy: Proxy,
+    timeouts: ShutdownTimeouts | None = None,
+    on_rejecting: Callable[[], None] | None = None,
+) -> None:
     """Respond to all accepted requests, while new clients are sent to other sidecars.
 
+    `on_rejecting` is called when no further request is going to be forwarded.
+
     Clients use their connections as long as these stay open. The connections are therefore kept open for the
     time of the state DRAINING: closing all of them at once would move this sidecar's whole load to other
     sidecars in one moment.
@@ -65,6 +73,8 @@
     proxy.lifecycle.enter(ProcessState.CLOSING)
     log.info(LogEvent("shutdown_closing", clients=len(server.clients), requests=len(proxy.requests)))
     await _close_connections(server, started_us + int(timeouts.reject_after_s(longest_deadline_s) * 1e6))
+    if on_rejecting is not None:
+        on_rejecting()
     log.info(
         LogEvent(
             "shutdown_rejecting",
--- a/corkdoor/sidecar/process.py
+++ b/corkdoor/sidecar/process.py
@@ -45,7 +45,8 @@
     _log_serving(config)
     background_tasks.append(asyncio.create_task(_log_ready(proxy)))
     await stop.wait()
-    await shut_down(server, proxy)
+    # A reload matters as long as requests are forwarded: it may name another discovery.
+    await shut_down(server, proxy, on_rejecting=partial(signals.ignore, signal.SIGHUP))
     for task in background_tasks:
         task.cancel()
 
--- a/corkdoor/sidecar/signals.py
+++ b/corkdoor/sidecar/signals.py
@@ -30,12 +30,23 @@
         # `signal.signal` makes the signal interrupt system calls; this restores what the event loop has set.
         signal.siginterrupt(signal_number, False)
 
+    def ignore(self, signal_number: signal.Signals) -> None:
+        """Have the kernel ignore the signal from now on.
+
+        Handling signals that arrive one after another would leave the process no time for anything else.
+        """
+        signal.signal(signal_number, signal.SIG_IGN)
+        self._actions.pop(signal_number, None)
+        self._pending.discard(signal_number)
+
     def _set_pending(self, signal_number: int, _frame: FrameType | None) -> None:
         self._pending.add(signal_number)
 
     def _run(self, signal_number: int) -> None:
         self._pending.discard(signal_number)
-        self._actions[signal_number]()
+        action = self._actions.get(signal_number)
+        if action is not None:
+            action()
 
     async def run_missed(self) -> None:
         """Carry out the actions of signals that the event loop was not woken for, until cancelled."""
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -6,6 +6,7 @@
 import logging
 import signal
 import socket
+import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -23,6 +24,10 @@
 )
 
 
+# A process ends within half a second of the line `shutdown_rejecting`, on a busy machine somewhat later.
+MAX_EXIT_S = 10.0
+
+
 class ActOnLog(logging.Handler):
     """Runs a function at the moment a line is logged, before the event loop runs anything else."""
 
@@ -140,6 +145,14 @@
     run(test())
 
 
+def process_state(pid: int) -> str:
+    """Return what the kernel tells of a process: its state, signals, and processor time in ticks."""
+    status = Path(f"/proc/{pid}/status").read_text(encoding="utf-8")
+    lines = [" ".join(line.split()) for line in status.splitlines() if line.startswith(("State", "Sig"))]
+    fields = Path(f"/proc/{pid}/stat").read_text(encoding="utf-8").rpartition(")")[2].split()
+    return ", ".join([*lines, f"user time {fields[11]}", f"kernel time {fields[12]}"])
+
+
 def test_exit_status_is_0_when_reloads_arrive_until_the_process_ends(tmp_path: Path) -> None:
     """Guards against SIGHUP after the event loop has restored its default action, which ends the process."""
 
@@ -147,8 +160,11 @@
         async with running_sidecar(tmp_path, {}) as running:
             running.process.send_signal(signal.SIGTERM)
             await running.wait_for_log_line("event=shutdown_rejecting ")
+            fails_at_s = time.monotonic() + MAX_EXIT_S
             while running.process.poll() is None:
                 running.process.send_signal(signal.SIGHUP)
+                if time.monotonic() > fails_at_s:
+                    pytest.fail(f"the process has not ended: {process_state(running.process.pid)}")
             assert running.process.returncode == 0
 
     run(test())
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -38,3 +38,24 @@
         assert action_times.empty()  # each action ran once
 
     run(test())
+
+
+async def test_ignored_signal_is_left_to_the_kernel_and_its_action_does_not_run() -> None:
+    """Guards against signals that arrive so densely that handling them leaves no time to end (issue 52)."""
+    actions = SignalActions()
+    action_count = 0
+
+    def count_action() -> None:
+        nonlocal action_count
+        action_count += 1
+
+    actions.handle(signal.SIGUSR1, count_action)
+    os.kill(os.getpid(), signal.SIGUSR1)  # its action would run later
+    actions.ignore(signal.SIGUSR1)
+    assert signal.getsignal(signal.SIGUSR1) is signal.SIG_IGN
+    os.kill(os.getpid(), signal.SIGUSR1)
+    missed_task = asyncio.create_task(actions.run_missed())
+    await asyncio.sleep(2 * CHECK_INTERVAL_S)
+    missed_task.cancel()
+    signal.signal(signal.SIGUSR1, signal.SIG_DFL)
+    assert action_count == 0
