--- a/corkdoor/sidecar/clients/connection.py
+++ b/corkdoor/sidecar/clients/connection.py
@@ -58,7 +58,7 @@
         self._keep_alive = True  # whether the connection may stay open after the current request
         self._client_state = NEW
         self._output_state = FLOWING
-        self._responded_us = 0  # when the last response was written
+        self._responded_us = 0  # when the last response was written that had input behind its request
         self._input = RequestInput(self, server.budget)
 
     # Methods of `StreamProtocol`, which the transport calls.
@@ -296,7 +296,8 @@
         # Waiting requests were accepted too, so they are served even while the server closes connections.
         keep_alive = self._keep_alive and (has_backlog or not self._server.closes_connections())
         self.transport.write(encode_response(status, headers, body, keep_alive))
-        self._responded_us = now_us()
+        if has_backlog:
+            self._responded_us = now_us()
         if self.transport.buffered_bytes():
             self.update_memory()
         if not keep_alive:
--- a/corkdoor/sidecar/clients/request_input.py
+++ b/corkdoor/sidecar/clients/request_input.py
@@ -119,32 +119,46 @@
 
     def may_hide_disconnect(self) -> bool:
         """Whether input has been unread for so long that the client may have disconnected behind it."""
-        return self._read_flow.is_paused and self._read_flow.unread_us() > MAX_UNREAD_US
+        return self._read_flow.unread_us() > MAX_UNREAD_US
 
     # Reading and parsing.
 
     def receive(self, data: bytes) -> None:
         """Take input that was read, and parse it as far as it may be parsed now."""
         self.read_us = now_us()
-        self._backlog.add_input(data, self._read_flow.record_read(len(data), self.read_us))
-        self.parse()
+        arrived_us = self._read_flow.record_read(len(data), self.read_us)
+        if self._may_parse_at_once(len(data)):
+            self._feed(data, arrived_us)
+        else:
+            self._backlog.add_input(data, arrived_us)
+            self.parse()
 
     def parse(self) -> None:
         """Parse the input that was read, within the limit on waiting requests and the memory budget."""
         backlog, parser = self._backlog, self._parser
         while backlog.unparsed_chunks and not backlog.is_full and not parser.has_ended:
-            parser.discards = not self._has_memory_to_parse()
+            parser.discards = not self._has_memory_to_parse(backlog.next_chunk_bytes())
             if parser.discards and not self._may_discard_next():
                 self._wait_for_memory()
                 return
-            chunk = backlog.take_chunk()
-            try:
-                parser.feed(memoryview(chunk.data), chunk.arrived_us)
-            except HTTPError as error:
-                self._owner.reject_input(error)
+            self._feed(*backlog.take_chunk())
             if backlog.unparsed_chunks:
                 self.update_memory()
 
+    def _may_parse_at_once(self, size: int) -> bool:
+        """Whether input of this size need not wait: nothing is before it, and the budget has room."""
+        backlog = self._backlog
+        if backlog or size > PARSE_CHUNK_BYTES or not self._has_memory_to_parse(size):
+            return False
+        self._parser.discards = False
+        return True
+
+    def _feed(self, data: bytes, arrived_us: int) -> None:
+        try:
+            self._parser.feed(data, arrived_us)
+        except HTTPError as error:
+            self._owner.reject_input(error)
+
     def read_on(self, may_discard: bool) -> None:
         """Read input while reading is paused, because the client's close may be behind it.
 
@@ -178,7 +192,7 @@
             parser.discards = not self._has_memory_to_keep()
             chunk = backlog.take_chunk()
             try:
-                parser.feed(memoryview(chunk.data), chunk.arrived_us)
+                parser.feed(chunk.data, chunk.arrived_us)
             except HTTPError as error:
                 self._error = error
                 backlog.drop_unparsed()
@@ -254,10 +268,12 @@
     def _is_behind(self) -> bool:
         return self._backlog.unparsed_chunks > 0 or self._backlog.is_full or self._error is not None
 
-    def _has_memory_to_parse(self) -> bool:
-        """Whether the budget has room for whatever the next chunk of input may become."""
-        size = MAX_EXPANSION * self._backlog.next_chunk_bytes()
-        return self._memory.budget.has_room(size, READ_AHEAD_SHARE if self._has_request() else REQUEST_SHARE)
+    def _has_memory_to_parse(self, size: int) -> bool:
+        """Whether the budget has room for whatever input of this size may become."""
+        needed_bytes = MAX_EXPANSION * size
+        return self._memory.budget.has_room(
+            needed_bytes, READ_AHEAD_SHARE if self._has_request() else REQUEST_SHARE
+        )
 
     def _has_request(self) -> bool:
         """Whether a complete request is being served or waits."""
--- a/corkdoor/sidecar/clients/request_parser.py
+++ b/corkdoor/sidecar/clients/request_parser.py
@@ -29,6 +29,7 @@
 HTTP_VERSIONS = ("1.0", "1.1")
 IDLE, HEAD, BODY, ENDED, TRUNCATED, CLOSED = InputState  # module-level names: looking up enum members is slow
 HEAD_STATES = frozenset((IDLE, HEAD))
+FRAMING_FIELDS = frozenset((b"content-length", b"transfer-encoding"))
 MESSAGE_STATES = frozenset((HEAD, BODY))
 RECEIVING_STATES = MESSAGE_STATES | {TRUNCATED}
 FINAL_STATES = frozenset((ENDED, TRUNCATED, CLOSED))
@@ -50,6 +51,16 @@
         ...
 
 
+class _NullSink:
+    """Ignores the parsed requests."""
+
+    def on_request_begin(self) -> None: ...
+
+    def on_request_complete(self, request: IncomingRequest) -> None: ...
+
+    def on_request_discarded(self, keep_alive: bool) -> None: ...
+
+
 class RequestParser:
     """Parses one connection's input. httptools calls the methods that are named after its callbacks.
 
@@ -118,7 +129,7 @@
         """Whether no further input is parsed."""
         return self.state in FINAL_STATES
 
-    def feed(self, data: memoryview, arrived_us: int) -> None:
+    def feed(self, data: bytes | memoryview, arrived_us: int) -> None:
         """Parse the next input, which arrived at `arrived_us`.
 
         Raises:
@@ -133,7 +144,7 @@
         was_in_head, body_bytes = self.state in HEAD_STATES, self._received_body_bytes
         upgrade_requested = False
         try:
-            self._feed_steps(parser, bytes(data))
+            self._feed(parser, bytes(data))
         except httptools.HttpParserUpgrade:
             upgrade_requested = True  # the request is complete, and its response closes the connection
         except httptools.HttpParserError:
@@ -142,9 +153,28 @@
         if upgrade_requested:
             self.end()
 
+    def _feed(self, parser: httptools.HttpRequestParser, data: bytes) -> None:
+        """Feed input: in one step if it begins between two requests and names no other protocol."""
+        if self.state is not IDLE or self._line_tail or names_other_protocol(data):
+            self._feed_steps(parser, data)
+            return
+        parser.feed_data(data)
+        if self.state is HEAD:
+            self._find_first_line(data)
+        else:
+            self._is_first_line_complete = self.state is not IDLE
+
+    def _find_first_line(self, data: bytes) -> None:
+        """Find out by parsing again in steps how much of the current request's first line is in `data`."""
+        other = RequestParser(_NullSink())
+        if other._parser is not None:
+            other._feed_steps(other._parser, data)
+        self._is_first_line_complete, self._line_tail = other._is_first_line_complete, other._line_tail
+        other.close()
+
     def _feed_steps(self, parser: httptools.HttpRequestParser, data: bytes) -> None:
         """Feed input in steps of which each ends where a request line or a request may end."""
-        start = self._feed_complete_lines(parser, data)
+        start = 0
         while start < len(data):
             end = self._step_end(data, start)
             step = data[start:end]
@@ -153,20 +183,6 @@
                 self._check_first_line(step)
             start = end
 
-    def _feed_complete_lines(self, parser: httptools.HttpRequestParser, data: bytes) -> int:
-        """Feed complete lines in one step if no request line among them can be of another protocol.
-
-        Returns:
-            The size of the step.
-        """
-        if self._line_tail or names_other_protocol(data):
-            return 0
-        size = data.rfind(b"\n") + 1
-        if size:
-            parser.feed_data(data[:size])
-            self._is_first_line_complete = self.state is not IDLE
-        return size
-
     def _step_end(self, data: bytes, start: int) -> int:
         """Return the index behind the step that begins at `start`."""
         missing_body_bytes = self._body_bytes - self._received_body_bytes
@@ -223,7 +239,9 @@
         """Add a header. A trailer after a chunked body counts towards the limit, but is not forwarded."""
         if self.state is HEAD:
             value = value.strip(OPTIONAL_WHITESPACE)  # httptools keeps trailing spaces
-            self._check_framing(name.lower(), value)
+            key = name.lower()
+            if key in FRAMING_FIELDS:
+                self._check_framing(key, value)
             if not self._is_discarded:
                 self._headers.append((name, value))
         self._head_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
@@ -286,7 +304,7 @@
         self._target, self._headers, self._body = b"", [], bytearray()
 
     def _discard_request(self) -> None:
-        self._discard_parts()
+        self._target, self._headers, self._body = b"", [], bytearray()
         self._is_discarded = False
         self._head_bytes = self._unfinished_bytes = self._body_bytes = self._received_body_bytes = 0
         self._is_first_line_complete, self._line_tail = False, b""
--- a/corkdoor/sidecar/http_lines.py
+++ b/corkdoor/sidecar/http_lines.py
@@ -45,6 +45,6 @@
     return STATUS_LINE_BEGIN.match(line_begin_bytes) is not None
 
 
-def begins_with_final_status(data: bytes) -> bool:
+def begins_with_final_status(data: bytes | memoryview) -> bool:
     """Whether `data` begins with the status line of a final response of HTTP/1.0 or 1.1."""
     return FINAL_STATUS_LINE_BEGIN.match(data) is not None
--- a/corkdoor/sidecar/upstream/response_reader.py
+++ b/corkdoor/sidecar/upstream/response_reader.py
@@ -151,7 +151,11 @@
             self._memory.budget.refusals += 1
             raise MemoryShortageError("no memory is left for a response")
         try:
-            self._feed_lines(parser, bytes(data))
+            if began_in_head and not partial.head_bytes and begins_with_final_status(data):
+                partial.is_status_line_complete = True  # and no other one follows
+                parser.feed_data(data)
+            else:
+                self._feed_lines(parser, bytes(data))
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # Bytes after a complete response do not invalidate it, but the connection can't be used again.
             if partial.complete is None:
@@ -167,10 +171,6 @@
     def _feed_lines(self, parser: httptools.HttpResponseParser, data: bytes) -> None:
         """Feed input; each status line is a step of its own, and so is the rest of each head."""
         start, partial = 0, self._partial
-        if not partial.head_bytes and begins_with_final_status(data):
-            partial.is_status_line_complete = True  # and no other one follows
-            parser.feed_data(data)
-            return
         while start < len(data) and partial.phase is HEAD:
             in_status_line = not partial.is_status_line_complete
             end = line_end(data, start) if in_status_line or not start else head_end(data, start)
--- a/tests/memory_support.py
+++ b/tests/memory_support.py
@@ -64,6 +64,13 @@
     "bodies": lambda number: b"".join(
         order(8 * number + i, "Content-Length: 60000\r\n\r\n") + b"x" * 60_000 for i in range(4)
     ),
+    "many bodies behind a read": lambda number: (
+        read(40 * number)
+        + b"".join(
+            order(40 * number + i, "Content-Length: 60000\r\n\r\n") + b"x" * 60_000 for i in range(1, 40)
+        )
+    ),
+    "many proper reads": lambda number: b"".join(read(200 * number + i, SHORT_FIELDS) for i in range(200)),
     "tiny requests": lambda number: read(number) + b"GET / HTTP/1.1\r\n\r\n" * 800,
 }
 
