--- a/corkdoor/sidecar/clients/request_input.py
+++ b/corkdoor/sidecar/clients/request_input.py
@@ -239,8 +239,10 @@
         self._parser.end()
 
     def close(self) -> None:
-        """Release the memory and the parser, which refers back to this object."""
+        """Release the memory, and drop the parser and the owner, which refer back to this object."""
         self._parser.close()
+        self._backlog.clear()
+        del self._owner
         self._memory.release()
 
     def update_memory(self) -> None:
