--- a/corkdoor/sidecar/clients/connection.py
+++ b/corkdoor/sidecar/clients/connection.py
@@ -59,7 +59,7 @@
         self._client_state = NEW
         self._output_state = FLOWING
         self._responded_us = 0  # when the last response was written that had input behind its request
-        self._input = RequestInput(self, server.budget)
+        self._input = RequestInput(self, server.budget, server.discard_quota)
 
     # Methods of `StreamProtocol`, which the transport calls.
 
@@ -179,13 +179,11 @@
     def check_disconnected(self) -> bool:
         """Whether the client has disconnected; called repeatedly while reading is paused.
 
-        Input that may hide the close is read on. It may be discarded for that only if the current request
-        waits for an attempt.
+        Input that may hide the close is read on within the memory budget, and none is discarded: so much may
+        be sent that parsing it would take the time of other clients.
         """
-        request = self.current_request
-        if request is not None and not request.has_attempts_in_flight():
-            return self.has_disconnected()
-        if (request is not None or self.has_backlog) and self._input.may_hide_disconnect():
+        is_served = self.current_request is not None or self.has_backlog
+        if is_served and self._input.may_hide_disconnect():
             self._input.read_on(may_discard=False)
         return self.transport.peer_closed()
 
--- a/corkdoor/sidecar/clients/request_input.py
+++ b/corkdoor/sidecar/clients/request_input.py
@@ -11,6 +11,7 @@
     DiscardedRequest,
     IncomingRequest,
 )
+from corkdoor.sidecar.clients.discard_quota import REQUEST_BYTES, DiscardQuota
 from corkdoor.sidecar.clients.errors import HTTPError
 from corkdoor.sidecar.clients.read_flow import ReadFlow
 from corkdoor.sidecar.clients.request_parser import MAX_HEAD_BYTES, RequestParser
@@ -59,10 +60,12 @@
     Args:
         owner: the connection; it serves the requests.
         budget: limits the memory that the input of all clients takes.
+        discard_quota: limits the input of all clients that is parsed only to be discarded.
     """
 
     __slots__ = (
         "_backlog",
+        "_discard_quota",
         "_error",
         "_memory",
         "_owner",
@@ -72,11 +75,12 @@
         "read_us",
     )
 
-    def __init__(self, owner: InputOwner, budget: MemoryBudget) -> None:
+    def __init__(self, owner: InputOwner, budget: MemoryBudget, discard_quota: DiscardQuota) -> None:
         self.read_us = now_us()  # when input was last read
         self._error: HTTPError | None = None  # what is wrong with the input behind all complete requests
         self._owner = owner
         self._memory = MemoryReservation(budget)
+        self._discard_quota = discard_quota
         self._backlog = Backlog()
         self._parser = RequestParser(self)
 
@@ -168,7 +172,7 @@
         read_bytes = 0
         while read_bytes < MAX_READ_ON_BYTES:
             has_room = self._memory.budget.has_room(PARSE_CHUNK_BYTES, READ_ON_SHARE)
-            if not has_room and not (may_discard and self._has_memory_to_discard()):
+            if not has_room and not (may_discard and self._may_discard()):
                 return
             data = self._transport.read_now()
             now = now_us()
@@ -182,6 +186,7 @@
                 continue  # nothing behind an error is served
             self._backlog.add_input(data, arrived_us)
             if not has_room:
+                self._discard_quota.use(len(data))
                 self._parse_all()
             self.update_memory()
 
@@ -263,6 +268,7 @@
     def on_request_discarded(self, keep_alive: bool) -> None:
         """Queue the rejection of a request of which nothing was kept."""
         self._memory.budget.refusals += 1
+        self._discard_quota.use(REQUEST_BYTES)
         self._backlog.add_discarded_request(keep_alive)
 
     # Limits.
@@ -290,6 +296,10 @@
         budget, size = self._memory.budget, MAX_EXPANSION * self._backlog.next_chunk_bytes()
         return budget.has_room(0, READ_AHEAD_SHARE) and budget.has_room(size, REQUEST_SHARE)
 
+    def _may_discard(self) -> bool:
+        """Whether input may be parsed where nothing of it is kept."""
+        return self._has_memory_to_discard() and self._discard_quota.is_available(now_us())
+
     def _has_memory_to_discard(self) -> bool:
         """Whether the budget has room for parsing where nothing is kept."""
         return self._memory.budget.has_room(DISCARD_BYTES)
--- a/corkdoor/sidecar/clients/server.py
+++ b/corkdoor/sidecar/clients/server.py
@@ -10,6 +10,7 @@
 from corkdoor.sidecar.clients.backlog import PARSE_CHUNK_BYTES, IncomingRequest
 from corkdoor.sidecar.clients.close_reason import CloseReason
 from corkdoor.sidecar.clients.connection import ClientConnection
+from corkdoor.sidecar.clients.discard_quota import DiscardQuota
 from corkdoor.sidecar.clients.errors import HTTPError
 from corkdoor.sidecar.clients.registry import ClientRegistry
 from corkdoor.sidecar.clients.timeouts import ClientTimeouts
@@ -37,6 +38,7 @@
         self.budget = proxy.budget
         self.timeouts = timeouts or ClientTimeouts()
         self.clients = ClientRegistry(max_clients, self.timeouts.evictable_idle_s)
+        self.discard_quota = DiscardQuota(now_us())
         self.admission = RequestAdmission(proxy.settings)
 
     def bind(self, host: str, port: int) -> None:
--- a/tests/test_overload_in_service.py
+++ b/tests/test_overload_in_service.py
@@ -14,7 +14,7 @@
     request_registry,
 )
 from corkdoor.sidecar.clients import connection as client_connection
-from corkdoor.sidecar.clients import read_flow, registry, server
+from corkdoor.sidecar.clients import read_flow, registry, request_input, server
 from corkdoor.sidecar.clients.timeouts import ClientTimeouts
 from corkdoor.sidecar.clock import now_us
 from corkdoor.sidecar.upstream import attempt, connection, connection_pool, pool_manager
@@ -28,7 +28,8 @@
 
 CLOCK_USERS = (
     *(attempt_sender, balancer_events, endpoint_updates, proxy, request_registry),
-    *(client_connection, read_flow, registry, server, attempt, connection, connection_pool, pool_manager),
+    *(client_connection, read_flow, registry, request_input, server),
+    *(attempt, connection, connection_pool, pool_manager),
 )
 
 
