Emulator: a sidecar's port is taken outside the range of outgoing connections

The emulator had a free_port of its own that takes a port of the range for outgoing connections, so that one of those may take it before the sidecar listens.

Change: it uses testbed.ports.free_port, which stays below that range, as the suite's other processes do.

--- a/emulator/sidecar.py
+++ b/emulator/sidecar.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import signal
-import socket
 import sys
 import tempfile
 from pathlib import Path
@@ -15,6 +14,7 @@
 from emulator.process_usage import ProcessUsage, read_precise_cpu_s, read_usage
 from testbed.discovery_wire import endpoint_list, endpoint_row
 from testbed.environment import ROOT, sidecar_environment
+from testbed.ports import free_port
 
 BREAKDOWN_VARIABLE = "EMULATOR_BREAKDOWN"  # names the file that `emulator.breakdown` writes
 READY_TIMEOUT_S = 10.0  # a sidecar that does not respond 200 to `/up` by then has failed to start
@@ -44,13 +44,6 @@
 }
 
 
-def free_port() -> int:
-    """Return a loopback port that is free now. An outgoing connection may be given the same port."""
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        port: int = server.getsockname()[1]
-        return port
-
-
 async def is_up(port: int) -> bool:
     """Return whether the response to `GET /up` at a loopback port has status 200."""
     try:
--- a/tests/test_emulator_processes.py
+++ b/tests/test_emulator_processes.py
@@ -26,8 +26,9 @@
 )
 from emulator.endpoints.process import EndpointGroup
 from emulator.errors import SidecarStartError, WorkerError
-from emulator.sidecar import Sidecar, free_port
+from emulator.sidecar import Sidecar
 from emulator.worker import Worker
+from testbed.ports import free_port
 from tests.http_messages import Message, read_message
 from tests.sidecar_support import run
 
